--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments, on real processes and loopback."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Two deployments, and a demonstration of both."""
--- /dev/null
+++ b/examples/directorate/__init__.py
@@ -0,0 +1,1 @@
+"""The Directorate of Residential Door Services in Muscat."""
--- /dev/null
+++ b/examples/kitakaze/__init__.py
@@ -0,0 +1,1 @@
+"""Kitakaze Tally Works: stock counts for corner shops across Hokkaido."""
--- /dev/null
+++ b/src/savorybend/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private machinery: nothing in here is part of the public interface."""
--- /dev/null
+++ b/src/savorybend/internal/assembly.py
@@ -0,0 +1,269 @@
+"""Puts a daemon together from its parts, and runs it from start to stop."""
+
+import asyncio
+import collections.abc
+import random
+import signal
+import time
+import typing
+
+import aiohttp
+
+from savorybend.internal import admin
+from savorybend.internal import backendserver
+from savorybend.internal import charts
+from savorybend.internal import choice
+from savorybend.internal import concurrency
+from savorybend.internal import configstore
+from savorybend.internal import entry
+from savorybend.internal import forwarding
+from savorybend.internal import handles
+from savorybend.internal import httpserver
+from savorybend.internal import journal
+from savorybend.internal import limits
+from savorybend.internal import local
+from savorybend.internal import logs
+from savorybend.internal import members
+from savorybend.internal import membership
+from savorybend.internal import peers
+from savorybend.internal import platform
+from savorybend.internal import receiving
+from savorybend.internal import requestids
+from savorybend.internal import routing
+from savorybend.internal import serving
+from savorybend.internal import settings as settings_module
+from savorybend.internal import timers
+
+_POLL_S = 0.05
+# How long a drain is given to reach the peers before the listeners close;
+# until then they are told to go elsewhere.
+_SPREAD_S = 1.0
+
+_log = logs.get()
+
+
+class Daemon:
+    """One daemon; see charts/daemon.json for its states."""
+
+    # Set by the chart's machine.
+    state: str
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        session: aiohttp.ClientSession,
+    ):
+        self._settings = settings
+        self._session = session
+        self._tasks: list[asyncio.Task] = []
+        self._timers = timers.create_timer_service()
+        clock = self._timers.clock
+        keys = peers.create_key_pair()
+        own = _own_record(settings, keys.public)
+        self._directory = members.create_directory(own)
+        self._transport = peers.create_transport(self._directory, keys)
+        self._platform = platform.create_platform(
+            settings.platform_url, session
+        )
+        self._configuration = configstore.create_store(clock)
+        self._watcher = configstore.create_watcher(
+            self._configuration, self._platform
+        )
+        self._membership = membership.create_membership(
+            self._directory, self._platform
+        )
+        self._journal = journal.create_journal(
+            settings.name, settings.journal_entries
+        )
+        self._limiter = limits.create_limiter(clock, self._directory)
+        self._gate = concurrency.create_gate(clock)
+        self._server = backendserver.create_backend_server(self._gate)
+        self._handles = handles.create_handles()
+        self._serving = self._create_serving(clock)
+        self._receiver = receiving.create_receiver(
+            self._transport, clock, self._serving, self._directory
+        )
+        self._entry = self._create_entry(clock, own)
+        self._listeners = self._create_listeners()
+        charts.create_machine("daemon", self, after_change="log_state")
+
+    async def run(self) -> None:
+        """Serves until a signal asks for a graceful shutdown."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        self._configuration.subscribe(self._on_configuration)
+        await self._start()
+        await stop.wait()
+        await self._stop()
+
+    def log_state(self) -> None:
+        """Logs the state after a change."""
+        _log.info("daemon", state=self.state)
+
+    async def _start(self) -> None:
+        settings = self._settings
+        self._transport.bind(str(settings.peer_address))
+        addresses = (
+            settings.call_address,
+            settings.local_address,
+            settings.admin_address,
+        )
+        for listener, address in zip(self._listeners, addresses, strict=True):
+            await listener.start(address.host, address.port)
+        self._spawn(self._membership.run())
+        self._spawn(self._watcher.run())
+        _log.info("listening", call_address=str(settings.call_address))
+
+    async def _stop(self) -> None:
+        self.trigger("drain")
+        self._serving.drain()
+        own = self._directory.own
+        leaving = _changed(own, state=members.DRAINING)
+        await self._membership.announce_change(leaving)
+        await asyncio.sleep(_SPREAD_S)
+        await self._finish_calls()
+        await self._membership.leave()
+        for listener in self._listeners:
+            await listener.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._transport.close()
+        self.trigger("finish")
+
+    async def _finish_calls(self) -> None:
+        clock = self._timers.clock
+        end_s = clock.now_s() + self._settings.drain_timeout_s
+        while self._busy() and clock.now_s() < end_s:
+            await asyncio.sleep(_POLL_S)
+
+    def _busy(self) -> bool:
+        in_flight = self._entry.in_flight + self._receiver.in_flight
+        return in_flight + self._gate.in_use > 0
+
+    def _on_configuration(self, _) -> None:
+        if self.state == "starting":
+            self.trigger("configured")
+
+    def _spawn(self, work: collections.abc.Coroutine) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _create_serving(self, clock: timers.Clock) -> serving.Serving:
+        return serving.create_serving(
+            serving.Parts(
+                daemon=self._settings.name,
+                clock=clock,
+                gate=self._gate,
+                backend_server=self._server,
+                handles=self._handles,
+                journal=self._journal,
+                session=self._session,
+            )
+        )
+
+    def _create_entry(
+        self, clock: timers.Clock, own: members.Record
+    ) -> entry.Entry:
+        router = routing.create_router(
+            routing.Parts(
+                directory=self._directory,
+                tracker=choice.create_tracker(random.Random()),
+                local=self._serving,
+                forwarder=forwarding.create_forwarder(
+                    self._transport, clock, self._directory
+                ),
+            )
+        )
+        return entry.create_entry(
+            entry.Parts(
+                daemon=own.name,
+                clock=clock,
+                configuration=self._configuration,
+                limiter=self._limiter,
+                target=router,
+                handles=self._handles,
+                issuer=requestids.create_issuer(own.name, own.incarnation),
+                journal=self._journal,
+                body_limit_bytes=self._settings.body_limit_bytes,
+                entries=self._entries,
+            )
+        )
+
+    def _create_listeners(self) -> tuple[httpserver.Listener, ...]:
+        pages = admin.create_pages(
+            admin.Parts(
+                key=self._settings.admin_key,
+                configuration=self._configuration,
+                directory=self._directory,
+                journal=self._journal,
+                limiter=self._limiter,
+                status=self._status,
+                ready=lambda: self.state == "serving",
+            )
+        )
+        door = local.create_door(self._server, self._entry)
+        limit = self._settings.header_limit_bytes
+        return tuple(
+            httpserver.create_listener(handler, limit)
+            for handler in (self._entry.handle, door.handle, pages.handle)
+        )
+
+    def _entries(self) -> dict[str, dict[str, list[str]]]:
+        found: dict[str, dict[str, list[str]]] = {}
+        for record in self._directory.all():
+            if record.state == members.SERVING:
+                centres = found.setdefault(record.service, {})
+                addresses = centres.setdefault(record.data_centre, [])
+                addresses.append(record.call_address)
+        return found
+
+    def _status(self) -> admin.Status:
+        return admin.Status(
+            name=self._settings.name,
+            state=self.state,
+            backend_server=self._server.state,
+            configuration_version=self._configuration.version,
+            configuration_age_s=self._configuration.age_s,
+            in_flight=self._entry.in_flight,
+            in_use=self._gate.in_use,
+            waiting=self._gate.waiting,
+            limit=self._gate.limit,
+        )
+
+
+def _own_record(
+    settings: settings_module.Settings, public_key: str
+) -> members.Record:
+    return members.Record(
+        name=settings.name,
+        # Two starts of a daemon are never in the same millisecond, and a
+        # replaced VM has no disk to count them on.
+        incarnation=time.time_ns() // 1_000_000,
+        data_centre=settings.data_centre,
+        service=settings.service,
+        call_address=str(settings.call_address),
+        peer_address=str(settings.peer_address),
+        admin_address=str(settings.admin_address),
+        public_key=public_key,
+    )
+
+
+def _changed(record: members.Record, **fields: typing.Any) -> members.Record:
+    values = {name: getattr(record, name) for name in record.__struct_fields__}
+    return members.Record(
+        **{**values, "revision": record.revision + 1, **fields}
+    )
+
+
+async def run(settings: settings_module.Settings) -> None:
+    """Runs a daemon until a signal asks for a graceful shutdown."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(total=None),
+    ) as session:
+        await Daemon(settings, session).run()
--- /dev/null
+++ b/src/savorybend/internal/backendserver.py
@@ -0,0 +1,73 @@
+"""The backend server on this VM, as it announces itself."""
+
+import typing
+
+from savorybend.internal import charts
+from savorybend.internal import concurrency
+from savorybend.internal import logs
+
+_log = logs.get()
+
+
+class Announcement(typing.TypedDict):
+    """What a backend server says of itself.
+
+    Attributes:
+        address: Where it takes calls, as `IP:PORT`.
+        slots: Calls that it can work on at once.
+    """
+
+    address: str
+    slots: int
+
+
+class LoadReport(typing.TypedDict):
+    """What a backend server says of its load; it may lag or mislead.
+
+    Attributes:
+        in_use: Slots in use.
+    """
+
+    in_use: int
+
+
+class BackendServer:
+    """Follows the backend server's state; see charts/backend.json."""
+
+    # Set by the chart's machine.
+    state: str
+
+    def __init__(self, gate: concurrency.Gate):
+        self._gate = gate
+        self._address = ""
+        charts.create_machine("backend", self, after_change="log_state")
+
+    @property
+    def address(self) -> str:
+        """Where it takes calls, as `IP:PORT`; empty before it said so."""
+        return self._address
+
+    @property
+    def ready(self) -> bool:
+        """Whether it takes new work."""
+        return self.state == "ready"
+
+    def take_announcement(self, announcement: Announcement) -> None:
+        """Notes that the backend server is there."""
+        self._address = announcement["address"]
+        self._gate.set_slots(announcement["slots"])
+        if not self.ready:
+            self.trigger("announce")
+
+    def take_report(self, report: LoadReport) -> None:
+        """Passes a load report on as a hint."""
+        self._gate.hint(report["in_use"])
+
+    def log_state(self) -> None:
+        """Logs the state after a change."""
+        _log.info("backend_server", state=self.state, address=self._address)
+
+
+def create_backend_server(gate: concurrency.Gate) -> BackendServer:
+    """Returns a backend server that hasn't announced itself yet."""
+    return BackendServer(gate)
--- /dev/null
+++ b/src/savorybend/internal/bodies.py
@@ -0,0 +1,241 @@
+"""Bodies of calls and answers: whole at once, or in a bounded stream."""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+# A body up to this size travels whole in one message and one read.
+INLINE_BYTES = 65_536
+# How much of one body may be under way between two daemons, so that a photo
+# batch neither fills the memory nor delays the small calls beside it.
+WINDOW_BYTES = 262_144
+CHUNK_BYTES = 65_536
+
+
+class Body(typing.Protocol):
+    """Something that yields a body in parts."""
+
+    @property
+    def whole(self) -> bytes | None:
+        """The entire body if it is at hand, else None."""
+
+    @property
+    def length(self) -> int | None:
+        """Bytes of the entire body, or None if that isn't known."""
+
+    @property
+    def replayable(self) -> bool:
+        """Whether a second target could still read it from its start."""
+
+    async def read(self) -> bytes:
+        """Returns the next part; empty at the end.
+
+        Raises:
+            errors.AnswerLostError: The rest of the body is lost.
+        """
+
+
+class WholeBody:
+    """A body that is at hand."""
+
+    __slots__ = ("_data", "_taken")
+
+    def __init__(self, data: bytes):
+        self._data = data
+        self._taken = False
+
+    @property
+    def whole(self) -> bytes:
+        """The entire body."""
+        return self._data
+
+    @property
+    def length(self) -> int:
+        """Bytes of the entire body."""
+        return len(self._data)
+
+    @property
+    def replayable(self) -> bool:
+        """Always, since readers of a whole body take `whole`."""
+        return True
+
+    async def read(self) -> bytes:
+        """Returns the body the first time, then nothing."""
+        if self._taken:
+            return b""
+        self._taken = True
+        return self._data
+
+
+class StreamedBody:
+    """A body that is read from an HTTP connection.
+
+    Args:
+        read: Returns the next part, empty at the end.
+        length: Bytes of the entire body, or None.
+        on_end: Called once, with whether the body came whole.
+    """
+
+    def __init__(
+        self,
+        read: collections.abc.Callable[[], collections.abc.Awaitable[bytes]],
+        length: int | None,
+        on_end: collections.abc.Callable[[bool], None] | None = None,
+    ):
+        self._read = read
+        self._length = length
+        self._on_end = on_end
+        self._touched = False
+
+    @property
+    def whole(self) -> None:
+        """Not at hand."""
+        return None
+
+    @property
+    def length(self) -> int | None:
+        """Bytes of the entire body, or None."""
+        return self._length
+
+    @property
+    def replayable(self) -> bool:
+        """Whether nothing was read yet."""
+        return not self._touched
+
+    async def read(self) -> bytes:
+        """Returns the next part; empty at the end."""
+        self._touched = True
+        try:
+            data = await self._read()
+        except BaseException:
+            self.abandon()
+            raise
+        if not data:
+            self._end(whole=True)
+        return data
+
+    def abandon(self) -> None:
+        """Says that the rest won't be read."""
+        self._end(whole=False)
+
+    def _end(self, whole: bool) -> None:
+        if self._on_end is not None:
+            on_end, self._on_end = self._on_end, None
+            on_end(whole)
+
+
+class PipedBody:
+    """A body that arrives in messages from another daemon.
+
+    Args:
+        grant: Called with the bytes that were read, so that the sender may
+            send as many more.
+    """
+
+    def __init__(self, grant: collections.abc.Callable[[int], None]):
+        self._grant = grant
+        self._parts: collections.deque[bytes] = collections.deque()
+        self._ended = False
+        self._error: Exception | None = None
+        self._wake: asyncio.Future | None = None
+        self._touched = False
+
+    @property
+    def whole(self) -> None:
+        """Not at hand."""
+        return None
+
+    @property
+    def replayable(self) -> bool:
+        """Whether nothing was read yet."""
+        return not self._touched
+
+    @property
+    def length(self) -> None:
+        """Not known."""
+        return None
+
+    def feed(self, data: bytes, last: bool) -> None:
+        """Takes the next part."""
+        if data:
+            self._parts.append(data)
+        self._ended = self._ended or last
+        self._notify()
+
+    def fail(self, error: Exception) -> None:
+        """Ends the body with an error, after what has arrived."""
+        self._error = self._error or error
+        self._notify()
+
+    async def read(self) -> bytes:
+        """Returns the next part; empty at the end."""
+        if not self._touched:
+            # The sender waits for this first room, so that a call which is
+            # refused has used up nothing of its body.
+            self._touched = True
+            self._grant(WINDOW_BYTES)
+        while not self._parts:
+            if self._error is not None:
+                raise self._error
+            if self._ended:
+                return b""
+            self._wake = asyncio.get_running_loop().create_future()
+            await self._wake
+        data = self._parts.popleft()
+        if not self._ended:
+            self._grant(len(data))
+        return data
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+
+class Window:
+    """How many bytes of a body its sender may still send."""
+
+    def __init__(self):
+        self._room = 0
+        self._wake: asyncio.Future | None = None
+        self._closed = False
+
+    def grant(self, size: int) -> None:
+        """Takes the receiver's word that it has room for `size` more."""
+        self._room += size
+        self._notify()
+
+    def close(self) -> None:
+        """Lets the sender go on, since nobody receives any more."""
+        self._closed = True
+        self._notify()
+
+    async def take(self, size: int) -> None:
+        """Waits until there is any room, then takes `size` bytes of it."""
+        while self._room <= 0 and not self._closed:
+            self._wake = asyncio.get_running_loop().create_future()
+            await self._wake
+        self._room -= size
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+
+EMPTY = WholeBody(b"")
+
+
+async def read_all(body: Body) -> bytes:
+    """Returns the entire body."""
+    if body.whole is not None:
+        return body.whole
+    parts = []
+    while data := await body.read():
+        parts.append(data)
+    return b"".join(parts)
+
+
+def split(data: bytes) -> collections.abc.Iterator[bytes]:
+    """Yields `data` in parts that fit a message."""
+    for start in range(0, len(data), CHUNK_BYTES):
+        yield data[start : start + CHUNK_BYTES]
--- /dev/null
+++ b/src/savorybend/internal/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""What `savorybendctl` does."""
--- /dev/null
+++ b/src/savorybend/internal/ctl/configuration.py
@@ -0,0 +1,145 @@
+"""The commands about the configuration: check, diff, submit, show."""
+
+import collections.abc
+import difflib
+import sys
+
+from savorybend.internal import documents
+from savorybend.internal import errors
+from savorybend.internal import platform
+from savorybend.internal import sentinels
+from savorybend.internal.ctl import exits
+
+Say = collections.abc.Callable[[str], None]
+
+
+def read(path: str) -> bytes:
+    """Returns the text of a file, or of standard input for `-`."""
+    if path == "-":
+        return sys.stdin.buffer.read()
+    with open(path, "rb") as file:
+        return file.read()
+
+
+def check(text: bytes, say: Say) -> int:
+    """Says whether a document is valid."""
+    document = documents.decode(text)
+    say(
+        f"valid: {len(document['client_accounts'])} client accounts, "
+        f"{len(document['routes'])} routes, "
+        f"{len(document['services'])} services"
+    )
+    return exits.OK
+
+
+async def show(store: platform.Platform, say: Say) -> int:
+    """Prints the configuration on the platform; its version goes to errors."""
+    found = await _current(store)
+    if not found:
+        print(f"savorybendctl: {found.reason}", file=sys.stderr)
+        return exits.FAILED
+    print(f"version {found.version}", file=sys.stderr)
+    say(found.value)
+    return exits.OK
+
+
+async def diff(store: platform.Platform, text: bytes, say: Say) -> int:
+    """Prints what a document would change."""
+    wanted = documents.encode(documents.decode(text)).decode()
+    found = await _current(store)
+    value = found.value if found else ""
+    say(changes(value, wanted) or "no change")
+    return exits.OK
+
+
+async def submit(
+    store: platform.Platform, text: bytes, base: int | None, say: Say
+) -> int:
+    """Puts a document on the platform, unless another operator was faster.
+
+    Args:
+        store: The platform.
+        text: The document.
+        base: The version that the operator started from; None for the one
+            that is there now.
+        say: Prints a line.
+    """
+    wanted = documents.encode(documents.decode(text)).decode()
+    found = await _current(store)
+    version = found.version if found else platform.ABSENT
+    before = found.value if found else ""
+    if before == wanted:
+        say(f"no change: version {version} is the same")
+        return exits.OK
+    if base is not None and base != version:
+        return _lost_race(base, version, "", say)
+    try:
+        written = await store.put(
+            platform.CONFIGURATION_KIND,
+            platform.CONFIGURATION_NAME,
+            wanted,
+            version,
+        )
+    except errors.ConflictError:
+        now = await _current(store)
+        return _lost_race(
+            version,
+            now.version if now else platform.ABSENT,
+            changes(before, now.value if now else ""),
+            say,
+        )
+    except errors.PlatformUnavailableError:
+        return await _settle(store, wanted, version, say)
+    say(f"submitted: version {written}")
+    return exits.OK
+
+
+async def _settle(
+    store: platform.Platform, wanted: str, version: int, say: Say
+) -> int:
+    """Finds out whether a write whose reply was lost took effect."""
+    try:
+        now = await _current(store)
+    except errors.PlatformUnavailableError:
+        say(
+            "unknown: the platform's reply was lost and it can't be read "
+            "back; submit the same document again when it is there"
+        )
+        return exits.UNREACHABLE
+    if now and now.value == wanted:
+        say(f"submitted: version {now.version} (reply lost, read back)")
+        return exits.OK
+    if (now.version if now else platform.ABSENT) == version:
+        say("not submitted: the write did not take effect; submit again")
+        return exits.UNREACHABLE
+    say(
+        f"unknown: version {now.version} of another operator is there now; "
+        "it may have followed yours: look at it with 'config show'"
+    )
+    return exits.CONFLICT
+
+
+def _lost_race(base: int, now: int, changed: str, say: Say) -> int:
+    say(
+        f"not submitted: you started from version {base}, but another "
+        f"operator's version {now} is there; take it in and submit again"
+    )
+    if changed:
+        say(changed)
+    return exits.CONFLICT
+
+
+def changes(before: str, after: str) -> str:
+    """Returns the lines that differ between two documents."""
+    lines = difflib.unified_diff(
+        before.splitlines(), after.splitlines(), "before", "after", lineterm=""
+    )
+    return "\n".join(lines)
+
+
+async def _current(
+    store: platform.Platform,
+) -> platform.Object | sentinels.Absence:
+    return await store.get(
+        platform.CONFIGURATION_KIND, platform.CONFIGURATION_NAME
+    )
--- /dev/null
+++ b/src/savorybend/internal/ctl/requests.py
@@ -0,0 +1,97 @@
+"""The commands about requests: what became of one, and which there were."""
+
+import datetime
+import re
+import time
+
+from savorybend.internal import errors
+from savorybend.internal.ctl import fleet
+from savorybend.internal.ctl import tables
+
+_AGO = re.compile(r"(\d+)([smhd])")
+_UNIT_S = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+
+
+def parse_since_s(text: str) -> float:
+    """Returns a time in seconds since 1970.
+
+    Args:
+        text: `15m`, `2h`, or a date and time in ISO 8601.
+
+    Raises:
+        ValueError: The text is neither.
+    """
+    found = _AGO.fullmatch(text)
+    if found:
+        return time.time() - int(found[1]) * _UNIT_S[found[2]]
+    try:
+        return datetime.datetime.fromisoformat(text).timestamp()
+    except ValueError:
+        raise ValueError(
+            f"{text!r} is no time: give for example 15m or 2026-01-31T08:00"
+        ) from None
+
+
+async def show(source: fleet.Fleet, request_id: str, as_json: bool) -> str:
+    """Returns what the daemons know of a request."""
+    entries = []
+    silent = []
+    page = f"requests/{request_id}"
+    for daemon, found in await source.ask_all(page):
+        if isinstance(found, errors.PeerUnreachableError):
+            silent.append(daemon)
+        elif found is not None:
+            entries.append(found)
+    if as_json:
+        rows = [{"entries": entries, "not_reached": silent}]
+        return tables.render(rows, as_json=True)
+    return _story(request_id, entries, silent)
+
+
+async def list_all(
+    source: fleet.Fleet, query: dict[str, str], as_json: bool
+) -> str:
+    """Returns the requests that fit a query, the newest first."""
+    rows = []
+    for _, found in await source.ask_all("requests", **query):
+        if not isinstance(found, list):
+            continue
+        for entry in found:
+            if "/" in entry["request_id"] or not entry["outcome"]:
+                continue
+            rows.append(
+                {
+                    "time": _clock(entry["events"][0][0]),
+                    "request_id": entry["request_id"],
+                    "client_account": entry["client_account"],
+                    "route": entry["route"],
+                    "outcome": entry["outcome"],
+                    "reason": entry["reason"],
+                }
+            )
+    unique = {row["request_id"]: row for row in rows}
+    newest = sorted(unique.values(), key=lambda r: r["time"], reverse=True)
+    return tables.render(newest[: int(query["most"])], as_json)
+
+
+def _story(request_id: str, entries: list[dict], silent: list[str]) -> str:
+    lines = [f"request   {request_id}"]
+    outcome = next((e for e in entries if e["outcome"]), None)
+    named = next((e for e in entries if e["client_account"]), None)
+    if named:
+        lines.append(f"account   {named['client_account']}")
+        lines.append(f"route     {named['route']}")
+    lines.append(f"outcome   {outcome['outcome'] if outcome else 'never seen'}")
+    if outcome and outcome["reason"]:
+        lines.append(f"reason    {outcome['reason']}")
+    events = sorted(event for entry in entries for event in entry["events"])
+    for time_s, daemon, what, detail in events:
+        lines.append(f"  {_clock(time_s)}  {daemon}  {what}  {detail}".rstrip())
+    for daemon in silent:
+        lines.append(f"  not reached: {daemon}; it may know more")
+    return "\n".join(lines)
+
+
+def _clock(time_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(time_s, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%S.%f")[:-3] + "Z"
--- /dev/null
+++ b/src/savorybend/internal/forwarding.py
@@ -0,0 +1,276 @@
+"""Passes calls to the daemon beside another backend server."""
+
+import asyncio
+import hashlib
+import itertools
+import typing
+
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import errors
+from savorybend.internal import members
+from savorybend.internal import outcomes
+from savorybend.internal import peers
+from savorybend.internal import timers
+from savorybend.internal.wire import calls as wire
+
+
+class _Pending:
+    """A call that another daemon has."""
+
+    def __init__(self, peer: str, answer: asyncio.Future):
+        self.peer = peer
+        self.answer = answer
+        self.window = bodies.Window()
+        self.body: bodies.PipedBody | None = None
+        self.digest = hashlib.blake2b()
+        self.length = 0
+
+    def fail(self, error: Exception) -> None:
+        """Ends the call with an error."""
+        self.window.close()
+        if self.body is not None:
+            self.body.fail(error)
+        if not self.answer.done():
+            self.answer.set_exception(error)
+
+
+class Forwarder:
+    """Sends calls to peers and gathers the answers."""
+
+    def __init__(
+        self,
+        transport: peers.Transport,
+        clock: timers.Clock,
+        directory: members.Directory,
+    ):
+        self._transport = transport
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._streams = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        transport.subscribe(wire.AnswerStart, self._on_start)
+        transport.subscribe(wire.AnswerChunk, self._on_chunk)
+        transport.subscribe(wire.CallCredit, self._on_credit)
+        directory.subscribe(self._on_change)
+
+    def target(self, peer: str) -> calls.Target:
+        """Returns the daemon called `peer` as the target of a call."""
+        return _Peer(self, peer)
+
+    async def execute(
+        self, peer: str, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the answer of the daemon called `peer`.
+
+        An answer of its own says `not-run` where the call was not sent, and
+        `unknown` where it was and the peer vanished.
+        """
+        stream = next(self._streams)
+        pending = _Pending(peer, self._loop.create_future())
+        self._pending[stream] = pending
+        try:
+            self._start(stream, peer, call, body)
+        except errors.PeerUnreachableError as error:
+            self._forget(stream)
+            return calls.not_run(
+                outcomes.refuse(outcomes.NO_BACKEND_SERVER, str(error)),
+                call.request_id,
+                self._transport.name,
+            )
+        pump = None
+        if body.whole is None:
+            pump = asyncio.create_task(self._pump(stream, pending, body))
+        try:
+            return await self._gather(stream, pending, call)
+        finally:
+            if pump is not None:
+                pump.cancel()
+
+    async def _gather(
+        self, stream: int, pending: _Pending, call: calls.Call
+    ) -> calls.Answer:
+        left_s = call.deadline_s - self._clock.now_s()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await pending.answer
+        except TimeoutError:
+            self._cancel(stream)
+            return self._unknown(call, outcomes.TOO_LATE)
+        except errors.AnswerLostError:
+            self._forget(stream)
+            return self._unknown(call, outcomes.ANSWER_LOST)
+        except asyncio.CancelledError:
+            self._cancel(stream)
+            raise
+
+    def _start(
+        self, stream: int, peer: str, call: calls.Call, body: bodies.Body
+    ) -> None:
+        head = wire.CallHead(
+            call.request_id,
+            call.client_account,
+            call.route,
+            call.service,
+            call.priority,
+            call.idempotent,
+            call.method,
+            call.target,
+            call.headers,
+            call.deadline_s - self._clock.now_s(),
+            call.retries,
+            call.depth,
+        )
+        data = body.whole
+        whole = data is not None
+        message = wire.CallStart(stream, head, data or b"", whole)
+        self._transport.send(peer, message)
+
+    async def _pump(
+        self, stream: int, pending: _Pending, body: bodies.Body
+    ) -> None:
+        try:
+            await pending.window.take(0)
+            while data := await body.read():
+                for part in bodies.split(data):
+                    await pending.window.take(len(part))
+                    message = wire.CallChunk(stream, part, False)
+                    self._transport.send(pending.peer, message)
+            self._transport.send(
+                pending.peer, wire.CallChunk(stream, b"", True)
+            )
+        except (errors.SavorybendError, OSError) as error:
+            self._cancel(stream)
+            pending.fail(errors.AnswerLostError(f"body not sent: {error}"))
+
+    def _on_start(self, peer: str, message: wire.AnswerStart) -> None:
+        pending = self._find(peer, message.stream)
+        if pending is None or pending.answer.done():
+            return
+        head = message.head
+        if message.last:
+            body: bodies.Body = bodies.WholeBody(message.data)
+            self._forget(message.stream)
+        else:
+            body = self._open_body(message.stream, pending)
+        pending.answer.set_result(
+            calls.Answer(
+                head.status,
+                head.headers,
+                outcomes.Outcome(head.outcome),
+                head.reason,
+                head.retry_after_s,
+                head.decided_by,
+                head.retries_spent,
+                head.effects,
+                head.threshold,
+                body,
+            )
+        )
+
+    def _open_body(self, stream: int, pending: _Pending) -> bodies.PipedBody:
+        def grant(size: int) -> None:
+            try:
+                self._transport.send(
+                    pending.peer, wire.AnswerCredit(stream, size)
+                )
+            except errors.PeerUnreachableError as error:
+                pending.fail(errors.AnswerLostError(str(error)))
+
+        pending.body = bodies.PipedBody(grant)
+        return pending.body
+
+    def _on_chunk(self, peer: str, message: wire.AnswerChunk) -> None:
+        pending = self._find(peer, message.stream)
+        if pending is None or pending.body is None:
+            return
+        pending.digest.update(message.data)
+        pending.length += len(message.data)
+        if not message.last:
+            pending.body.feed(message.data, False)
+            return
+        self._forget(message.stream)
+        whole = (
+            not message.failed
+            and pending.length == message.length
+            and pending.digest.digest() == message.digest
+        )
+        if whole:
+            pending.body.feed(message.data, True)
+        else:
+            pending.body.fail(
+                errors.AnswerLostError(
+                    "the answer broke off: ask about the request by its ID"
+                )
+            )
+
+    def _on_credit(self, peer: str, message: wire.CallCredit) -> None:
+        pending = self._find(peer, message.stream)
+        if pending is not None:
+            pending.window.grant(message.size)
+
+    def _on_change(self, change: members.Change) -> None:
+        match change:
+            case members.Gone(record=record):
+                lost = errors.AnswerLostError(
+                    f"daemon {record.name!r} is gone: ask about the request "
+                    "by its ID"
+                )
+                for stream, pending in list(self._pending.items()):
+                    if pending.peer == record.name:
+                        self._forget(stream)
+                        pending.fail(lost)
+            case _:
+                pass
+
+    def _find(self, peer: str, stream: int) -> _Pending | None:
+        pending = self._pending.get(stream)
+        # A peer has no say in the calls that another one was given.
+        if pending is None or pending.peer != peer:
+            return None
+        return pending
+
+    def _cancel(self, stream: int) -> None:
+        pending = self._forget(stream)
+        if pending is None:
+            return
+        try:
+            self._transport.send(pending.peer, wire.CallCancel(stream))
+        except errors.PeerUnreachableError:
+            # Its daemon drops the call with the connection.
+            return
+
+    def _forget(self, stream: int) -> _Pending | None:
+        return self._pending.pop(stream, None)
+
+    def _unknown(
+        self, call: calls.Call, reason: outcomes.Reason
+    ) -> calls.Answer:
+        return calls.explain(
+            outcomes.Outcome.UNKNOWN,
+            reason,
+            call.request_id,
+            self._transport.name,
+        )
+
+
+class _Peer(typing.NamedTuple):
+    """A daemon as the target of calls."""
+
+    forwarder: Forwarder
+    name: str
+
+    async def execute(
+        self, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the daemon's answer."""
+        return await self.forwarder.execute(self.name, call, body)
+
+
+def create_forwarder(
+    transport: peers.Transport,
+    clock: timers.Clock,
+    directory: members.Directory,
+) -> Forwarder:
+    """Returns a forwarder over `transport`."""
+    return Forwarder(transport, clock, directory)
--- /dev/null
+++ b/src/savorybend/internal/handles.py
@@ -0,0 +1,69 @@
+"""Handles: what a backend server holds of a request instead of its key.
+
+A handle is good only while its request is in flight on this VM, so a backend
+server can't act for a client account outside a live request.
+"""
+
+import secrets
+
+from savorybend.internal import calls
+from savorybend.internal import requestids
+from savorybend.internal import sentinels
+
+NO_HANDLE = sentinels.create("NO_HANDLE", "no request in flight has it")
+
+_HANDLE_BYTES = 16
+
+
+class LiveRequest:
+    """A request that this VM's backend server is working on."""
+
+    __slots__ = ("_call", "_children", "retries_left", "effects", "handle")
+
+    def __init__(self, handle: str, call: calls.Call):
+        self._call = call
+        self._children = 0
+        self.handle = handle
+        self.retries_left = call.retries
+        self.effects = False
+
+    @property
+    def call(self) -> calls.Call:
+        """The call that the backend server was given."""
+        return self._call
+
+    @property
+    def children(self) -> int:
+        """How many child calls it has made."""
+        return self._children
+
+    def next_child_id(self) -> str:
+        """Returns the ID of its next child call."""
+        self._children += 1
+        return requestids.child(self._call.request_id, self._children)
+
+
+class Handles:
+    """The handles of the requests in flight on this VM."""
+
+    def __init__(self):
+        self._live: dict[str, LiveRequest] = {}
+
+    def grant(self, call: calls.Call) -> LiveRequest:
+        """Returns a live request with a new handle."""
+        live = LiveRequest(secrets.token_hex(_HANDLE_BYTES), call)
+        self._live[live.handle] = live
+        return live
+
+    def find(self, handle: str) -> LiveRequest | sentinels.Absence:
+        """Returns the live request that has a handle, or `NO_HANDLE`."""
+        return self._live.get(handle, NO_HANDLE)
+
+    def withdraw(self, live: LiveRequest) -> None:
+        """Ends a handle, since its request is over."""
+        self._live.pop(live.handle, None)
+
+
+def create_handles() -> Handles:
+    """Returns an empty table of handles."""
+    return Handles()
--- /dev/null
+++ b/src/savorybend/internal/headers.py
@@ -0,0 +1,84 @@
+"""Names and values of the HTTP headers that savorybend reads and writes."""
+
+import math
+
+from savorybend.internal import errors
+
+AUTHORIZATION = "Authorization"
+TIMEOUT = "Savorybend-Timeout"
+REQUEST_ID = "Savorybend-Request-Id"
+HANDLE = "Savorybend-Handle"
+OUTCOME = "Savorybend-Outcome"
+REASON = "Savorybend-Reason"
+DECIDED_BY = "Savorybend-Decided-By"
+RETRIES = "Savorybend-Retries"
+CLIENT_ACCOUNT = "Savorybend-Client-Account"
+PRIORITY = "Savorybend-Priority"
+RETRY_AFTER = "Retry-After"
+
+# Nothing that a person waits for takes longer, and a bound keeps a mistyped
+# timeout from holding a slot for days.
+LONGEST_TIMEOUT_S = 3600.0
+
+_BEARER = "bearer "
+
+# Headers that belong to one connection or to savorybend itself; they are not
+# passed on, and the key is never shown to a backend server.
+_HOP_BY_HOP = frozenset(
+    {
+        "authorization",
+        "proxy-authorization",
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    }
+)
+_OWN_PREFIX = "savorybend-"
+
+Pairs = list[tuple[str, str]]
+
+
+def passed_on(items) -> Pairs:
+    """Returns the (name, value) pairs that go on to the next hop."""
+    kept = []
+    for name, value in items:
+        lowered = name.lower()
+        if lowered in _HOP_BY_HOP or lowered.startswith(_OWN_PREFIX):
+            continue
+        # The HTTP library names headers in a type of its own, which no codec
+        # takes.
+        kept.append((str(name), value))
+    return kept
+
+
+def parse_timeout_s(text: str) -> float:
+    """Returns the seconds that a caller waits.
+
+    Raises:
+        errors.InvalidHeaderError: The text isn't a number of seconds above
+            zero and at most `LONGEST_TIMEOUT_S`.
+    """
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = math.nan
+    if not 0 < timeout_s <= LONGEST_TIMEOUT_S:
+        raise errors.InvalidHeaderError(
+            f"{TIMEOUT}: {text[:40]!r} isn't a number of seconds above 0 and "
+            f"at most {LONGEST_TIMEOUT_S:.0f}: send for example '2.5'"
+        )
+    return timeout_s
+
+
+def parse_bearer(text: str) -> str:
+    """Returns the key in an Authorization header, or an empty string."""
+    if text[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return text[len(_BEARER) :].strip()
--- /dev/null
+++ b/src/savorybend/internal/httpserver.py
@@ -0,0 +1,99 @@
+"""HTTP listeners whose every answer, errors included, states an outcome."""
+
+import collections.abc
+
+import msgspec
+from aiohttp import web
+
+from savorybend.internal import headers
+from savorybend.internal import logs
+from savorybend.internal import outcomes
+
+Handler = collections.abc.Callable[
+    [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+]
+
+_log = logs.get()
+
+
+class _Protocol(web.RequestHandler):
+    """Answers malformed requests the way the daemon answers any other."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the answer to a request that can't be read."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer was under way already")
+        reason = outcomes.REQUEST_INVALID
+        outcome = outcomes.Outcome.NOT_RUN
+        if status >= 500:
+            reason = outcomes.INTERNAL
+            outcome = outcomes.Outcome.UNKNOWN
+            _log.error("request_failed", path=request.path, exc_info=exc)
+        response = web.json_response(
+            {
+                "outcome": outcome.value,
+                "reason": reason.name,
+                "detail": type(exc).__name__ if exc else "",
+                "remedy": reason.remedy,
+            },
+            status=status,
+            headers={
+                headers.OUTCOME: outcome.value,
+                headers.REASON: reason.name,
+            },
+        )
+        response.force_close()
+        return response
+
+
+class _Server(web.Server):
+    """Speaks with each connection through `_Protocol`."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return _Protocol(self, loop=self._loop, **self._kwargs)
+
+
+class Listener:
+    """An HTTP listener."""
+
+    def __init__(self, handler: Handler, header_limit_bytes: int):
+        server = _Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=header_limit_bytes,
+            max_field_size=header_limit_bytes,
+        )
+        self._runner = web.ServerRunner(server, handle_signals=False)
+        self._site: web.TCPSite | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Takes connections at an address."""
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, host, port, reuse_address=True)
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Closes the listener and its idle connections."""
+        await self._runner.cleanup()
+
+
+def json_answer(value: object, status: int = 200) -> web.Response:
+    """Returns an answer whose body is `value` as JSON."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        content_type="application/json",
+    )
+
+
+def create_listener(handler: Handler, header_limit_bytes: int) -> Listener:
+    """Returns a listener that gives each request to `handler`."""
+    return Listener(handler, header_limit_bytes)
--- /dev/null
+++ b/src/savorybend/internal/local.py
@@ -0,0 +1,61 @@
+"""The door of this VM's backend server: announcements and child calls."""
+
+import msgspec
+from aiohttp import web
+
+from savorybend.internal import backendserver
+from savorybend.internal import entry
+from savorybend.internal import httpserver
+
+_BACKEND_PATH = "/savorybend/v1/backend"
+_LOAD_PATH = "/savorybend/v1/backend/load"
+_DRAIN_PATH = "/savorybend/v1/backend/drain"
+_LARGEST_BYTES = 65_536
+
+
+class Door:
+    """Answers what this VM's backend server asks."""
+
+    def __init__(
+        self, server: backendserver.BackendServer, calls_in: entry.Entry
+    ):
+        self._server = server
+        self._calls_in = calls_in
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers an announcement, a load report or a child call."""
+        if not request.path.startswith("/savorybend/"):
+            return await self._calls_in.handle_child(request)
+        try:
+            return await self._handle_own(request)
+        except msgspec.MsgspecError as error:
+            problem = {"error": f"{error}: send the fields the docs name"}
+            return httpserver.json_answer(problem, 400)
+
+    async def _handle_own(self, request: web.BaseRequest) -> web.Response:
+        asked = (request.method, request.path)
+        body = await request.content.read(_LARGEST_BYTES)
+        match asked:
+            case ("PUT", p) if p == _BACKEND_PATH:
+                announcement = msgspec.json.decode(
+                    body, type=backendserver.Announcement
+                )
+                self._server.take_announcement(announcement)
+            case ("POST", p) if p == _LOAD_PATH:
+                report = msgspec.json.decode(
+                    body, type=backendserver.LoadReport
+                )
+                self._server.take_report(report)
+            case ("POST", p) if p == _DRAIN_PATH:
+                self._server.trigger("drain")
+            case _:
+                problem = {"error": "no such page: see docs/operators"}
+                return httpserver.json_answer(problem, 404)
+        return httpserver.json_answer({"state": self._server.state})
+
+
+def create_door(
+    server: backendserver.BackendServer, calls_in: entry.Entry
+) -> Door:
+    """Returns the door of the backend server on this VM."""
+    return Door(server, calls_in)
--- /dev/null
+++ b/src/savorybend/internal/metrics.py
@@ -0,0 +1,112 @@
+"""What a daemon shows of itself, for Prometheus."""
+
+import functools
+
+import prometheus_client
+
+# Fine below the 1.2 ms that savorybend may add, coarse above.
+_LATENCY_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.0015,
+    0.002,
+    0.003,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+
+_CALL_SECONDS = prometheus_client.Histogram(
+    "savorybend_call_seconds",
+    "Time from a call's arrival at its entry to the end of its answer.",
+    ("client_account", "priority", "outcome"),
+    buckets=_LATENCY_BUCKETS_S,
+)
+_BACKEND_SECONDS = prometheus_client.Histogram(
+    "savorybend_backend_seconds",
+    "Time that the backend server on this VM took for a call.",
+    ("priority",),
+    buckets=_LATENCY_BUCKETS_S,
+)
+_REFUSALS = prometheus_client.Counter(
+    "savorybend_refusals",
+    "Calls refused at this daemon, by reason.",
+    ("client_account", "reason"),
+)
+_PLATFORM_CALLS = prometheus_client.Counter(
+    "savorybend_platform_calls",
+    "Calls made to the platform's object API.",
+    ("operation",),
+)
+_PEER_MESSAGES = prometheus_client.Counter(
+    "savorybend_peer_messages",
+    "Messages exchanged with other daemons.",
+    ("direction",),
+)
+_PEER_REFUSALS = prometheus_client.Counter(
+    "savorybend_peer_refusals",
+    "Connections and messages of other daemons that were refused.",
+    ("cause",),
+)
+CONFIGURATION_VERSION = prometheus_client.Gauge(
+    "savorybend_configuration_version",
+    "Version of the configuration in force.",
+)
+CONFIGURATION_AGE_S = prometheus_client.Gauge(
+    "savorybend_configuration_age_seconds",
+    "Seconds since the configuration in force was last confirmed.",
+)
+MEMBERS = prometheus_client.Gauge(
+    "savorybend_members", "Daemons that this daemon knows, itself included."
+)
+IN_FLIGHT = prometheus_client.Gauge(
+    "savorybend_calls_in_flight", "Calls in flight at this daemon."
+)
+
+SENT = _PEER_MESSAGES.labels("sent")
+RECEIVED = _PEER_MESSAGES.labels("received")
+
+
+@functools.cache
+def call_seconds(
+    client_account: str, priority: int, outcome: str
+) -> prometheus_client.Histogram:
+    """Returns the histogram of calls of one account, class and outcome."""
+    return _CALL_SECONDS.labels(client_account, str(priority), outcome)
+
+
+@functools.cache
+def backend_seconds(priority: int) -> prometheus_client.Histogram:
+    """Returns the histogram of the backend server's time for one class."""
+    return _BACKEND_SECONDS.labels(str(priority))
+
+
+@functools.cache
+def refusals(client_account: str, reason: str) -> prometheus_client.Counter:
+    """Returns the counter of one account's refusals for one reason."""
+    return _REFUSALS.labels(client_account, reason)
+
+
+@functools.cache
+def peer_refusals(cause: str) -> prometheus_client.Counter:
+    """Returns the counter of refused connections and messages."""
+    return _PEER_REFUSALS.labels(cause)
+
+
+def count_platform_call(operation: str) -> None:
+    """Counts one call to the platform."""
+    _PLATFORM_CALLS.labels(operation).inc()
+
+
+def render() -> bytes:
+    """Returns all metrics in Prometheus's text format."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/src/savorybend/internal/receiving.py
@@ -0,0 +1,180 @@
+"""Takes calls from other daemons and sends the answers back."""
+
+import asyncio
+import hashlib
+
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import errors
+from savorybend.internal import members
+from savorybend.internal import peers
+from savorybend.internal import timers
+from savorybend.internal.wire import calls as wire
+
+_Key = tuple[str, int]
+
+
+class _Incoming:
+    """A call that another daemon gave this one."""
+
+    def __init__(self, body: bodies.Body):
+        self.body = body
+        self.window = bodies.Window()
+        self.task: asyncio.Task | None = None
+
+
+class Receiver:
+    """Gives the calls of peers to a target on this VM."""
+
+    def __init__(
+        self,
+        transport: peers.Transport,
+        clock: timers.Clock,
+        target: calls.Target,
+        directory: members.Directory,
+    ):
+        self._transport = transport
+        self._clock = clock
+        self._target = target
+        self._incoming: dict[_Key, _Incoming] = {}
+        transport.subscribe(wire.CallStart, self._on_start)
+        transport.subscribe(wire.CallChunk, self._on_chunk)
+        transport.subscribe(wire.CallCancel, self._on_cancel)
+        transport.subscribe(wire.AnswerCredit, self._on_credit)
+        directory.subscribe(self._on_change)
+
+    @property
+    def in_flight(self) -> int:
+        """Calls of peers that are not answered yet."""
+        return len(self._incoming)
+
+    def _on_start(self, peer: str, message: wire.CallStart) -> None:
+        key = (peer, message.stream)
+        if key in self._incoming:
+            return
+        body: bodies.Body
+        if message.last:
+            body = bodies.WholeBody(message.data)
+        else:
+            body = bodies.PipedBody(lambda size: self._grant(key, size))
+        incoming = _Incoming(body)
+        self._incoming[key] = incoming
+        incoming.task = asyncio.create_task(
+            self._run(key, incoming, message.head)
+        )
+
+    def _on_chunk(self, peer: str, message: wire.CallChunk) -> None:
+        incoming = self._incoming.get((peer, message.stream))
+        if incoming and isinstance(incoming.body, bodies.PipedBody):
+            incoming.body.feed(message.data, message.last)
+
+    def _on_credit(self, peer: str, message: wire.AnswerCredit) -> None:
+        incoming = self._incoming.get((peer, message.stream))
+        if incoming is not None:
+            incoming.window.grant(message.size)
+
+    def _on_cancel(self, peer: str, message: wire.CallCancel) -> None:
+        self._cancel((peer, message.stream))
+
+    def _on_change(self, change: members.Change) -> None:
+        match change:
+            case members.Gone(record=record):
+                for key in list(self._incoming):
+                    if key[0] == record.name:
+                        self._cancel(key)
+            case _:
+                pass
+
+    def _cancel(self, key: _Key) -> None:
+        incoming = self._incoming.pop(key, None)
+        if incoming is not None and incoming.task is not None:
+            incoming.task.cancel()
+
+    def _grant(self, key: _Key, size: int) -> None:
+        peer, stream = key
+        try:
+            self._transport.send(peer, wire.CallCredit(stream, size))
+        except errors.PeerUnreachableError:
+            self._cancel(key)
+
+    async def _run(
+        self, key: _Key, incoming: _Incoming, head: wire.CallHead
+    ) -> None:
+        try:
+            answer = await self._target.execute(self._call(head), incoming.body)
+            await self._reply(key, incoming, answer)
+        except errors.PeerUnreachableError:
+            # The caller's daemon is gone; it asks by ID when it is back.
+            return
+        finally:
+            self._incoming.pop(key, None)
+
+    def _call(self, head: wire.CallHead) -> calls.Call:
+        return calls.Call(
+            head.request_id,
+            head.client_account,
+            head.route,
+            head.service,
+            head.priority,
+            head.idempotent,
+            head.method,
+            head.target,
+            head.headers,
+            self._clock.now_s() + head.timeout_s,
+            head.retries,
+            head.depth,
+        )
+
+    async def _reply(
+        self, key: _Key, incoming: _Incoming, answer: calls.Answer
+    ) -> None:
+        peer, stream = key
+        head = wire.AnswerHead(
+            answer.status,
+            answer.headers,
+            answer.outcome.value,
+            answer.reason,
+            answer.retry_after_s,
+            answer.decided_by,
+            answer.retries_spent,
+            answer.effects,
+            answer.threshold,
+        )
+        data = answer.body.whole
+        whole = data is not None
+        message = wire.AnswerStart(stream, head, data or b"", whole)
+        self._transport.send(peer, message)
+        if not whole:
+            await self._stream(key, incoming.window, answer.body)
+
+    async def _stream(
+        self, key: _Key, window: bodies.Window, body: bodies.Body
+    ) -> None:
+        peer, stream = key
+        digest = hashlib.blake2b()
+        length = 0
+        failed = False
+        try:
+            while data := await body.read():
+                for part in bodies.split(data):
+                    await window.take(len(part))
+                    digest.update(part)
+                    length += len(part)
+                    chunk = wire.AnswerChunk(stream, part, False)
+                    self._transport.send(peer, chunk)
+        except errors.AnswerLostError:
+            failed = True
+        end = wire.AnswerChunk(
+            stream, b"", True, length, digest.digest(), failed
+        )
+        self._transport.send(peer, end)
+
+
+def create_receiver(
+    transport: peers.Transport,
+    clock: timers.Clock,
+    target: calls.Target,
+    directory: members.Directory,
+) -> Receiver:
+    """Returns a receiver that gives calls to `target`."""
+    return Receiver(transport, clock, target, directory)
--- /dev/null
+++ b/src/savorybend/internal/serving.py
@@ -0,0 +1,279 @@
+"""Gives calls to the backend server on this VM; it has the last word."""
+
+import asyncio
+import typing
+
+import aiohttp
+
+from savorybend.internal import backendserver
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import concurrency
+from savorybend.internal import errors
+from savorybend.internal import handles
+from savorybend.internal import headers
+from savorybend.internal import journal
+from savorybend.internal import metrics
+from savorybend.internal import outcomes
+from savorybend.internal import timers
+
+# A backend server's own outcomes, where its answer states one.
+_STATED = {
+    outcomes.Outcome.PARTIAL.value: outcomes.Outcome.PARTIAL,
+    outcomes.Outcome.NOT_RUN.value: outcomes.Outcome.NOT_RUN,
+}
+
+
+class Parts(typing.NamedTuple):
+    """What a serving side is made of."""
+
+    daemon: str
+    clock: timers.Clock
+    gate: concurrency.Gate
+    backend_server: backendserver.BackendServer
+    handles: handles.Handles
+    journal: journal.Journal
+    session: aiohttp.ClientSession
+
+
+class Serving:
+    """Runs calls on this VM's backend server."""
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._draining = False
+
+    def drain(self) -> None:
+        """Refuses new work from now on, so that peers send it elsewhere."""
+        self._draining = True
+
+    async def execute(
+        self, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the call's answer; nothing ran unless it says so."""
+        refusal = self._check(call)
+        if refusal is not None:
+            return self._not_run(call, refusal)
+        ticket = await self._parts.gate.enter(call)
+        if isinstance(ticket, outcomes.Refuse):
+            return self._not_run(call, ticket)
+        live = self._parts.handles.grant(call)
+        flight = _Flight(self._parts, live, ticket)
+        try:
+            return await self._dispatch(flight, body)
+        except BaseException:
+            flight.end(whole=False)
+            raise
+
+    def _check(self, call: calls.Call) -> outcomes.Refuse | None:
+        if self._draining:
+            return outcomes.refuse(outcomes.ELSEWHERE)
+        if not self._parts.backend_server.ready:
+            return outcomes.refuse(
+                outcomes.NO_BACKEND_SERVER,
+                f"the backend server is {self._parts.backend_server.state}",
+            )
+        if call.deadline_s <= self._parts.clock.now_s():
+            return outcomes.refuse(outcomes.TOO_LATE)
+        return None
+
+    async def _dispatch(
+        self, flight: "_Flight", body: bodies.Body
+    ) -> calls.Answer:
+        call = flight.call
+        left_s = call.deadline_s - self._parts.clock.now_s()
+        self._parts.journal.note(
+            call.request_id,
+            "dispatched",
+            self._parts.backend_server.address,
+            client_account=call.client_account,
+            route=call.route,
+        )
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                response = await self._send(flight, body, left_s)
+                return await self._answer(flight, response)
+        except aiohttp.ClientConnectorError as error:
+            # No connection, so the backend server saw nothing of it.
+            self._parts.backend_server.trigger("lose")
+            flight.end(whole=False)
+            refusal = outcomes.refuse(
+                outcomes.NO_BACKEND_SERVER, type(error).__name__
+            )
+            return self._not_run(call, refusal)
+        except TimeoutError:
+            flight.end(whole=False)
+            return self._unknown(flight, outcomes.TOO_LATE)
+        except (aiohttp.ClientError, OSError, errors.AnswerLostError):
+            flight.end(whole=False)
+            return self._unknown(flight, outcomes.BACKEND_SERVER_LOST)
+
+    async def _send(
+        self, flight: "_Flight", body: bodies.Body, left_s: float
+    ) -> aiohttp.ClientResponse:
+        call = flight.call
+        sent = [
+            *call.headers,
+            (headers.REQUEST_ID, call.request_id),
+            (headers.HANDLE, flight.live.handle),
+            (headers.TIMEOUT, f"{left_s:.3f}"),
+            (headers.CLIENT_ACCOUNT, call.client_account),
+            (headers.PRIORITY, str(call.priority)),
+        ]
+        data = body.whole
+        if data is None:
+            data = _parts_of(body)
+            if body.length is not None:
+                sent.append(("Content-Length", str(body.length)))
+        return await self._parts.session.request(
+            call.method,
+            f"http://{self._parts.backend_server.address}{call.target}",
+            headers=sent,
+            data=data or None,
+            allow_redirects=False,
+        )
+
+    async def _answer(
+        self, flight: "_Flight", response: aiohttp.ClientResponse
+    ) -> calls.Answer:
+        outcome, reason = _outcome(flight.live, response)
+        length = response.content_length
+        if length is not None and length <= bodies.INLINE_BYTES:
+            body = bodies.WholeBody(await response.read())
+            flight.end(whole=True)
+        else:
+            body = bodies.StreamedBody(
+                _reader(response), length, flight.end_of(response)
+            )
+        live = flight.live
+        self._parts.journal.close(
+            flight.call.request_id, "answered", outcome.value, reason
+        )
+        return calls.Answer(
+            status=response.status,
+            headers=headers.passed_on(response.headers.items()),
+            outcome=outcome,
+            reason=reason,
+            retry_after_s=outcomes.BACKEND_SERVER_SHED.retry_after_s
+            if outcome is outcomes.Outcome.NOT_RUN
+            else 0.0,
+            decided_by=self._parts.daemon,
+            retries_spent=flight.call.retries - live.retries_left,
+            effects=live.effects or not flight.call.idempotent,
+            threshold=self._parts.gate.threshold,
+            body=body,
+        )
+
+    def _not_run(
+        self, call: calls.Call, refusal: outcomes.Refuse
+    ) -> calls.Answer:
+        self._parts.journal.note(
+            call.request_id,
+            "refused",
+            refusal.reason.name,
+            client_account=call.client_account,
+            route=call.route,
+        )
+        return calls.not_run(
+            refusal,
+            call.request_id,
+            self._parts.daemon,
+            self._parts.gate.threshold,
+        )
+
+    def _unknown(
+        self, flight: "_Flight", reason: outcomes.Reason
+    ) -> calls.Answer:
+        call = flight.call
+        self._parts.journal.close(
+            call.request_id,
+            "lost",
+            outcomes.Outcome.UNKNOWN.value,
+            reason.name,
+        )
+        return calls.explain(
+            outcomes.Outcome.UNKNOWN,
+            reason,
+            call.request_id,
+            self._parts.daemon,
+            retries_spent=call.retries - flight.live.retries_left,
+            threshold=self._parts.gate.threshold,
+        )
+
+
+class _Flight:
+    """A call that the backend server works on, until it is over."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        live: handles.LiveRequest,
+        ticket: concurrency.Ticket,
+    ):
+        self._parts = parts
+        self._ticket = ticket
+        self._over = False
+        self.live = live
+
+    @property
+    def call(self) -> calls.Call:
+        """The call."""
+        return self.live.call
+
+    def end(self, whole: bool) -> None:
+        """Gives the ticket and the handle back; ending twice is no error."""
+        if self._over:
+            return
+        self._over = True
+        latency_s = self._parts.clock.now_s() - self._ticket.entered_s
+        metrics.backend_seconds(self.call.priority).observe(latency_s)
+        self._parts.handles.withdraw(self.live)
+        report = concurrency.Report(latency_s, failed=not whole)
+        self._parts.gate.leave(self._ticket, report)
+
+    def end_of(self, response: aiohttp.ClientResponse):
+        """Returns what to call at the end of a streamed answer."""
+
+        def on_end(whole: bool) -> None:
+            if not whole:
+                response.close()
+            self.end(whole)
+
+        return on_end
+
+
+def _outcome(
+    live: handles.LiveRequest, response: aiohttp.ClientResponse
+) -> tuple[outcomes.Outcome, str]:
+    stated = _STATED.get(response.headers.get(headers.OUTCOME, ""))
+    if stated is None:
+        return outcomes.Outcome.RAN, ""
+    if stated is outcomes.Outcome.NOT_RUN:
+        # A backend server that made child calls can't have run nothing.
+        if live.children:
+            return outcomes.Outcome.PARTIAL, ""
+        return stated, outcomes.BACKEND_SERVER_SHED.name
+    return stated, ""
+
+
+async def _parts_of(body: bodies.Body):
+    while data := await body.read():
+        yield data
+
+
+def _reader(response: aiohttp.ClientResponse):
+    async def read() -> bytes:
+        try:
+            return await response.content.readany()
+        except (aiohttp.ClientError, OSError) as error:
+            raise errors.AnswerLostError(
+                f"the backend server's answer broke off ({error}): ask about "
+                "the request by its ID"
+            ) from error
+
+    return read
+
+
+def create_serving(parts: Parts) -> Serving:
+    """Returns the serving side of a VM."""
+    return Serving(parts)
--- /dev/null
+++ b/src/savorybend/internal/timers.py
@@ -0,0 +1,141 @@
+"""Time: a clock that counts suspension, and a service that calls back."""
+
+import asyncio
+import collections.abc
+import heapq
+import itertools
+import time
+import typing
+
+# Keeps a rounding error from calling a subscriber twice for one instant.
+_SHORTEST_S = 1e-6
+
+Callback = collections.abc.Callable[[], None]
+
+
+class Clock(typing.Protocol):
+    """A source of time."""
+
+    def now_s(self) -> float:
+        """Returns the seconds since an arbitrary start."""
+
+
+class Waker(typing.Protocol):
+    """Something that calls back once after a delay, such as a loop."""
+
+    def call_later(self, delay_s: float, callback: Callback) -> typing.Any:
+        """Calls `callback` after `delay_s` seconds."""
+
+
+class SystemClock:
+    """The machine's clock since boot.
+
+    It goes on while the machine is suspended, so that a holder of a lease
+    that was paused finds the lease gone.
+    """
+
+    def now_s(self) -> float:
+        """Returns the seconds since boot, suspension included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Subscription:
+    """One part's subscription to the timer service."""
+
+    __slots__ = ("_active", "callback", "interval_s")
+
+    def __init__(self, callback: Callback, interval_s: float | None):
+        self._active = True
+        self.callback = callback
+        self.interval_s = interval_s
+
+    @property
+    def active(self) -> bool:
+        """Whether the callback is still to be called."""
+        return self._active
+
+    def cancel(self) -> None:
+        """Ends the subscription; cancelling twice does nothing."""
+        self._active = False
+
+
+class TimerService:
+    """Calls subscribers back when their time has come."""
+
+    def __init__(self, clock: Clock, waker: Waker | None):
+        self._clock = clock
+        self._waker = waker
+        self._queue: list[tuple[float, int, Subscription]] = []
+        self._order = itertools.count()
+        self._armed_for_s: float | None = None
+
+    @property
+    def clock(self) -> Clock:
+        """The clock that the service follows."""
+        return self._clock
+
+    def after(self, delay_s: float, callback: Callback) -> Subscription:
+        """Calls `callback` once, in `delay_s` seconds."""
+        subscription = Subscription(callback, None)
+        self._push(self._clock.now_s() + max(0.0, delay_s), subscription)
+        return subscription
+
+    def every(self, interval_s: float, callback: Callback) -> Subscription:
+        """Calls `callback` each `interval_s` seconds until cancelled.
+
+        Raises:
+            ValueError: The interval is not above zero.
+        """
+        if interval_s <= 0:
+            raise ValueError(
+                f"interval {interval_s} s must be above zero: give the "
+                "seconds between two calls"
+            )
+        subscription = Subscription(callback, interval_s)
+        self._push(self._clock.now_s() + interval_s, subscription)
+        return subscription
+
+    def run_due(self) -> None:
+        """Calls everything that is due; a hand-driven clock calls it too."""
+        now_s = self._clock.now_s()
+        while self._queue and self._queue[0][0] <= now_s:
+            due_s, _, subscription = heapq.heappop(self._queue)
+            if not subscription.active:
+                continue
+            if subscription.interval_s is not None:
+                # After a pause the missed calls are skipped, since a burst of
+                # them would only repeat the same work.
+                missed = (now_s - due_s) // subscription.interval_s
+                next_s = due_s + (missed + 1) * subscription.interval_s
+                self._push(max(next_s, now_s + _SHORTEST_S), subscription)
+            subscription.callback()
+        self._arm()
+
+    def _push(self, due_s: float, subscription: Subscription) -> None:
+        entry = (due_s, next(self._order), subscription)
+        heapq.heappush(self._queue, entry)
+        self._arm()
+
+    def _arm(self) -> None:
+        if self._waker is None or not self._queue:
+            return
+        due_s = self._queue[0][0]
+        if self._armed_for_s is not None and self._armed_for_s <= due_s:
+            return
+        self._armed_for_s = due_s
+        delay_s = max(0.0, due_s - self._clock.now_s())
+        self._waker.call_later(delay_s, self._wake)
+
+    def _wake(self) -> None:
+        self._armed_for_s = None
+        self.run_due()
+
+
+def create_timer_service(clock: Clock | None = None) -> TimerService:
+    """Returns a service that the running asyncio loop drives."""
+    return TimerService(clock or SystemClock(), asyncio.get_running_loop())
+
+
+def create_manual_timer_service(clock: Clock) -> TimerService:
+    """Returns a service that runs only when `run_due` is called."""
+    return TimerService(clock, None)
--- /dev/null
+++ b/src/savorybend/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons; `codec` turns them into bytes and back."""
--- /dev/null
+++ b/src/savorybend/internal/wire/codec.py
@@ -0,0 +1,38 @@
+"""Turns messages between daemons into bytes and back."""
+
+import msgspec
+
+from savorybend.internal import errors
+from savorybend.internal.wire import calls
+from savorybend.internal.wire import limits
+from savorybend.internal.wire import membership
+from savorybend.internal.wire import requests
+
+Message = calls.Message | limits.Message | membership.Message | requests.Message
+
+# A chunk of a body and its head fit with room to spare; anything larger comes
+# from no daemon of ours.
+LARGEST_MESSAGE_BYTES = 1_048_576
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as MessagePack."""
+    return _ENCODER.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message in `data`.
+
+    Raises:
+        errors.InvalidMessageError: The data is no message.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise errors.InvalidMessageError(
+            f"a peer's message can't be read ({error}): run one version of "
+            "savorybend on all VMs"
+        ) from error
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what savorybend meets: for tests, demo and bench."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, grouped by purpose."""
