Hold rate and burst over the fleet by lending tokens

Cause: every daemon held an equal part by the number of daemons it knew, so the sum passed the limit while the fleet grew or views differed, and traffic at one daemon was refused although its account was inside its rate. Ruled out: a leased allocator per data centre. Change: a data centre's share is owned in 32 parts, named in one platform object per data centre that changes only as daemons come and go. Owners entrust their parts to the daemon that a rendezvous hash names, for 1.5 s at a time; it lends what they yield, borrows from other data centres on demand, and each lent token is spent once or lapses.

--- /dev/null
+++ b/src/savorybend/internal/allocators.py
@@ -0,0 +1,89 @@
+"""Which daemon acts as the allocator of a data centre."""
+
+import typing
+
+from savorybend.internal import members
+from savorybend.internal import sentinels
+from savorybend.internal import terms
+from savorybend.internal import timers
+
+NO_ALLOCATOR = sentinels.create(
+    "NO_ALLOCATOR", "no daemon of that data centre is known"
+)
+
+# A daemon that didn't answer is passed over for so long.
+_SUSPECT_S = 2.0
+
+
+class Directory(typing.Protocol):
+    """The part of `members.Directory` that is needed here."""
+
+    @property
+    def own(self) -> members.Record:
+        """This daemon's own record."""
+
+    def all(self) -> tuple[members.Record, ...]:
+        """Returns every known daemon, this one included."""
+
+    def subscribe(self, listener: members.Listener) -> None:
+        """Calls `listener` after each change."""
+
+
+class Chooser:
+    """Chooses by rendezvous hash, so that daemons agree without a message.
+
+    Where they disagree for a while, the parts of a share are divided between
+    two allocators, which costs tokens and breaks no bound.
+    """
+
+    def __init__(self, directory: Directory, clock: timers.Clock):
+        self._directory = directory
+        self._clock = clock
+        self._ranked: dict[str, list[members.Record]] = {}
+        self._suspects: dict[str, float] = {}
+        directory.subscribe(self._on_change)
+
+    def allocator(self, data_centre: str) -> str | sentinels.Absence:
+        """Returns the name of a data centre's allocator."""
+        candidates = self.of_centre(data_centre)
+        if not candidates:
+            return NO_ALLOCATOR
+        now_s = self._clock.now_s()
+        for record in candidates:
+            if self._suspects.get(record.name, now_s) <= now_s:
+                return record.name
+        return candidates[0].name
+
+    def of_centre(self, data_centre: str) -> list[members.Record]:
+        """Returns a data centre's daemons, the likeliest allocator first."""
+        found = self._ranked.get(data_centre)
+        if found is None:
+            found = self._ranked[data_centre] = self._rank(data_centre)
+        return found
+
+    def suspect(self, name: str) -> None:
+        """Passes over a daemon that didn't answer."""
+        self._suspects[name] = self._clock.now_s() + _SUSPECT_S
+
+    def _rank(self, data_centre: str) -> list[members.Record]:
+        records = {
+            record.name: record
+            for record in self._directory.all()
+            if record.data_centre == data_centre
+        }
+        serving = [
+            name
+            for name, record in records.items()
+            if record.state == members.SERVING
+        ]
+        ranked = terms.ranked(data_centre, serving or records)
+        return [records[name] for name in ranked]
+
+    def _on_change(self, change: members.Change) -> None:
+        self._ranked.clear()
+        self._suspects.pop(change.record.name, None)
+
+
+def create_chooser(directory: Directory, clock: timers.Clock) -> Chooser:
+    """Returns a chooser over the known daemons."""
+    return Chooser(directory, clock)
--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -32,7 +32,9 @@
 from savorybend.internal import routing
 from savorybend.internal import serving
 from savorybend.internal import settings as settings_module
+from savorybend.internal import snapshot
 from savorybend.internal import timers
+from savorybend.internal.wire import limits as wire_limits
 
 _POLL_S = 0.05
 # How long a drain is given to reach the peers before the listeners close;
@@ -75,7 +77,7 @@
         self._journal = journal.create_journal(
             settings.name, settings.journal_entries
         )
-        self._limiter = limits.create_limiter(clock, self._directory)
+        self._limiter = self._create_limiter()
         self._gate = concurrency.create_gate(clock)
         self._server = backendserver.create_backend_server(self._gate)
         self._handles = handles.create_handles()
@@ -114,6 +116,7 @@
             await listener.start(address.host, address.port)
         self._spawn(self._membership.run())
         self._spawn(self._watcher.run())
+        self._spawn(self._limiter.keeper.run())
         _log.info("listening", call_address=str(settings.call_address))
 
     async def _stop(self) -> None:
@@ -124,6 +127,7 @@
         await self._membership.announce_change(leaving)
         await asyncio.sleep(_SPREAD_S)
         await self._finish_calls()
+        await self._limiter.leave()
         await self._membership.leave()
         for listener in self._listeners:
             await listener.stop()
@@ -143,7 +147,8 @@
         in_flight = self._entry.in_flight + self._receiver.in_flight
         return in_flight + self._gate.in_use > 0
 
-    def _on_configuration(self, _) -> None:
+    def _on_configuration(self, current: snapshot.Snapshot) -> None:
+        self._limiter.configure(current)
         if self.state == "starting":
             self.trigger("configured")
 
@@ -163,6 +168,20 @@
             )
         )
 
+    def _create_limiter(self) -> limits.FleetLimiter:
+        limiter = limits.create_limiter(
+            limits.Parts(
+                timers=self._timers,
+                directory=self._directory,
+                store=self._platform,
+                send=self._transport.send,
+                random=random.Random(),
+            )
+        )
+        for kind in wire_limits.KINDS:
+            self._transport.subscribe(kind, limiter.receive)
+        return limiter
+
     def _create_entry(
         self, clock: timers.Clock, own: members.Record
     ) -> entry.Entry:
--- /dev/null
+++ b/src/savorybend/internal/ledgerkeeper.py
@@ -0,0 +1,170 @@
+"""Keeps a data centre's ledger on the platform up to date.
+
+Only the daemon that acts as allocator calls the platform, and it writes only
+when owners change. Two that both think they are it are settled by the
+platform's conditional update.
+"""
+
+import asyncio
+import random
+import typing
+
+import msgspec
+
+from savorybend.internal import allocation
+from savorybend.internal import allocators
+from savorybend.internal import errors
+from savorybend.internal import ledger
+from savorybend.internal import lending
+from savorybend.internal import logs
+from savorybend.internal import members
+from savorybend.internal import platform
+from savorybend.internal import timers
+from savorybend.internal.wire import limits as messages
+
+LIMITS_KIND = "limits"
+
+_INTERVAL_S = 1.0
+# A copy is read anew after so long, so that the owners' hold goes on.
+_REFRESH_S = 60.0
+_LONGEST_BACKOFF_S = 15.0
+
+_log = logs.get()
+
+
+class Store(typing.Protocol):
+    """The part of `platform.Platform` that is needed here."""
+
+    async def get(self, kind: str, name: str) -> typing.Any:
+        """Returns an object, or `platform.NO_OBJECT`."""
+
+    async def put(self, kind: str, name: str, value: str, expected: int) -> int:
+        """Writes an object if its version is `expected`."""
+
+
+class Parts(typing.NamedTuple):
+    """What a keeper is made of."""
+
+    clock: timers.Clock
+    chooser: allocators.Chooser
+    own: members.Record
+    store: Store
+    send: lending.Send
+    random: random.Random
+
+
+class Keeper:
+    """The ledger as this daemon last read or wrote it."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        planner: ledger.Planner,
+        allocator: allocation.Allocator,
+    ):
+        self._parts = parts
+        self._planner = planner
+        self._allocator = allocator
+        self._ledger = ledger.Ledger()
+        self._version = platform.ABSENT
+        self._read_s = float("-inf")
+        # A write whose reply was lost may have happened: read back first.
+        self._in_doubt = False
+        self._failures = 0
+
+    @property
+    def current(self) -> ledger.Ledger:
+        """The newest copy."""
+        return self._ledger
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the copy was read; infinite where there is none."""
+        return self._parts.clock.now_s() - self._read_s
+
+    async def run(self) -> None:
+        """Follows the daemons that come and go, until cancelled."""
+        while True:
+            await asyncio.sleep(await self.step())
+
+    async def step(self) -> float:
+        """Does what is due; returns the seconds until the next step."""
+        own = self._parts.own
+        if self._parts.chooser.allocator(own.data_centre) != own.name:
+            return self._jittered(_INTERVAL_S)
+        try:
+            await self._settle()
+        except errors.PlatformUnavailableError as error:
+            self._failures += 1
+            _log.warning("limits_ledger_unavailable", error=str(error))
+            wait_s = min(_LONGEST_BACKOFF_S, _INTERVAL_S * 2**self._failures)
+            return self._jittered(wait_s)
+        except errors.ConflictError:
+            # Somebody else wrote it, so their copy is the one to go on from.
+            self._in_doubt = True
+        else:
+            self._failures = 0
+        self._hint_owners()
+        return self._jittered(_INTERVAL_S)
+
+    async def _settle(self) -> None:
+        if self._in_doubt or self.age_s > _REFRESH_S:
+            await self._read()
+        now_s = self._parts.clock.now_s()
+        centre = self._parts.own.data_centre
+        alive = [
+            ledger.Member(r.name, r.incarnation, r.peer_address)
+            for r in self._parts.chooser.of_centre(centre)
+        ]
+        planned = self._planner.plan(self._ledger, alive, now_s)
+        if planned != self._ledger:
+            await self._write(planned)
+
+    async def _read(self) -> None:
+        started_s = self._parts.clock.now_s()
+        centre = self._parts.own.data_centre
+        found = await self._parts.store.get(LIMITS_KIND, centre)
+        if found:
+            self._ledger = msgspec.json.decode(found.value, type=ledger.Ledger)
+            self._version = found.version
+        else:
+            self._ledger, self._version = ledger.Ledger(), platform.ABSENT
+        self._read_s = started_s
+        self._in_doubt = False
+
+    async def _write(self, planned: ledger.Ledger) -> None:
+        started_s = self._parts.clock.now_s()
+        value = msgspec.json.encode(planned).decode()
+        self._in_doubt = True
+        self._version = await self._parts.store.put(
+            LIMITS_KIND, self._parts.own.data_centre, value, self._version
+        )
+        self._in_doubt = False
+        self._ledger = planned
+        self._read_s = started_s
+        _log.info("limits_ledger_written", version=self._version)
+
+    def _hint_owners(self) -> None:
+        """Tells owners of parts that rest; a hint may have been lost."""
+        entrusted = self._allocator.indexes
+        owners = {
+            (entry.owner, entry.incarnation)
+            for index, entry in enumerate(self._ledger.entries)
+            if entry.owner and not entry.marked and index not in entrusted
+        }
+        for name, incarnation in owners:
+            now_s = self._parts.clock.now_s()
+            hint = messages.Entrusted(
+                incarnation, self._parts.own.incarnation, now_s, 0.0, 0.0
+            )
+            self._parts.send(name, hint)
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._parts.random.uniform(0.75, 1.25)
+
+
+def create_keeper(
+    parts: Parts, planner: ledger.Planner, allocator: allocation.Allocator
+) -> Keeper:
+    """Returns a keeper that has no copy of the ledger yet."""
+    return Keeper(parts, planner, allocator)
--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -71,6 +71,22 @@
 IN_FLIGHT = prometheus_client.Gauge(
     "savorybend_calls_in_flight", "Calls in flight at this daemon."
 )
+LIMIT_PARTS_ENTRUSTED = prometheus_client.Gauge(
+    "savorybend_limit_parts_entrusted",
+    "Parts of the data centre's share that this daemon lends from.",
+)
+LIMIT_PARTS_OWNED = prometheus_client.Gauge(
+    "savorybend_limit_parts_owned",
+    "Parts of the data centre's share that this daemon owns.",
+)
+LIMIT_LEDGER_AGE_S = prometheus_client.Gauge(
+    "savorybend_limit_ledger_age_seconds",
+    "Seconds since this daemon read the data centre's ledger of parts.",
+)
+LIMIT_MESSAGES_UNSENT = prometheus_client.Counter(
+    "savorybend_limit_messages_unsent",
+    "Messages about limits that no connection took.",
+)
 
 SENT = _PEER_MESSAGES.labels("sent")
 RECEIVED = _PEER_MESSAGES.labels("received")
--- /dev/null
+++ b/src/savorybend/internal/spending.py
@@ -0,0 +1,229 @@
+"""Spends borrowed tokens on calls, and asks the allocator for more."""
+
+import asyncio
+import collections
+import dataclasses
+import typing
+
+from savorybend.internal import allocators
+from savorybend.internal import borrowing
+from savorybend.internal import lending
+from savorybend.internal import outcomes
+from savorybend.internal import timers
+from savorybend.internal.wire import limits as messages
+
+# A question without an answer for so long is asked again.
+_ANSWER_S = 0.1
+_MOST_UNANSWERED = 9
+# A call waits this long for an allocator, should none answer at all. It
+# outlasts the change from one allocator to the next.
+_WAIT_S = 2.5
+_SWEEP_S = 0.05
+_SHORTEST_RETRY_S = 0.02
+
+
+class Parts(typing.NamedTuple):
+    """What a spender is made of."""
+
+    clock: timers.Clock
+    timers: timers.TimerService
+    chooser: allocators.Chooser
+    data_centre: str
+    send: lending.Send
+
+
+@dataclasses.dataclass(slots=True)
+class _Account:
+    borrowed: borrowing.Borrowed
+    waiters: collections.deque["_Waiter"]
+    admitted: int = 0
+    refused: int = 0
+
+
+class _Waiter(typing.NamedTuple):
+    settled: asyncio.Future
+    until_s: float
+
+
+class Counts(typing.NamedTuple):
+    """How an account stands here.
+
+    Attributes:
+        admitted: Calls admitted since start.
+        refused: Calls refused since start.
+        at_hand: Tokens that could be spent now.
+    """
+
+    admitted: int
+    refused: int
+    at_hand: int
+
+
+class Spender:
+    """The tokens of every account at one daemon."""
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._accounts: dict[str, _Account] = {}
+        self._questions = borrowing.create_questions()
+        self._due: set[str] = set()
+        self._sweeping = False
+        self._unanswered = 0
+
+    async def take(self, name: str, deadline_s: float) -> outcomes.Verdict:
+        """Spends a token, waiting for one no longer than `deadline_s`."""
+        account = self._account(name)
+        now_s = self._parts.clock.now_s()
+        account.borrowed.demand.add(1.0, now_s)
+        if not account.waiters:
+            if account.borrowed.lots.take(now_s) is not None:
+                self._ask_if_wanted(name, account, now_s)
+                return self._admit(account)
+            dry_until_s = account.borrowed.dry_until_s
+            if now_s < dry_until_s:
+                return self._refuse(account, dry_until_s - now_s)
+        until_s = min(deadline_s, now_s + _WAIT_S)
+        waiter = _Waiter(asyncio.get_running_loop().create_future(), until_s)
+        account.waiters.append(waiter)
+        self._ask_if_wanted(name, account, now_s)
+        self._sweep_later()
+        good_until_s = await waiter.settled
+        # A pause may have come between the token and this line.
+        now_s = self._parts.clock.now_s()
+        if good_until_s is not None and now_s < good_until_s:
+            return self._admit(account)
+        wait_s = account.borrowed.dry_until_s - now_s
+        return self._refuse(account, wait_s)
+
+    def counts(self) -> dict[str, Counts]:
+        """Returns how each account stands."""
+        now_s = self._parts.clock.now_s()
+        return {
+            name: Counts(
+                account.admitted,
+                account.refused,
+                account.borrowed.lots.at_hand(now_s),
+            )
+            for name, account in self._accounts.items()
+        }
+
+    def on_loan(self, message: messages.TokenLoan) -> None:
+        """Takes tokens in and gives them to the calls that wait."""
+        now_s = self._parts.clock.now_s()
+        for loan in message.loans:
+            sent = self._questions.close(loan.sequence)
+            if sent is None:
+                continue
+            account = self._account(sent.client_account)
+            self._unanswered = 0
+            account.borrowed.add(loan, sent.sent_s, now_s)
+            self._serve(account, now_s)
+            if loan.retry_after_s > 0:
+                self._refuse_waiters(account)
+            else:
+                self._ask_if_wanted(sent.client_account, account, now_s)
+
+    def _serve(self, account: _Account, now_s: float) -> None:
+        while account.waiters:
+            waiter = account.waiters[0]
+            if waiter.settled.done():
+                # The caller left.
+                account.waiters.popleft()
+                continue
+            until_s = account.borrowed.lots.take(now_s)
+            if until_s is None:
+                return
+            account.waiters.popleft()
+            waiter.settled.set_result(until_s)
+
+    def _refuse_waiters(self, account: _Account) -> None:
+        while account.waiters:
+            waiter = account.waiters.popleft()
+            if not waiter.settled.done():
+                waiter.settled.set_result(None)
+
+    def _ask_if_wanted(
+        self, name: str, account: _Account, now_s: float
+    ) -> None:
+        if name in self._due or self._questions.about(name):
+            return
+        if account.borrowed.wanted(len(account.waiters), now_s) <= 0:
+            return
+        # Questions of one turn of the loop share a message.
+        if not self._due:
+            asyncio.get_running_loop().call_soon(self._ask)
+        self._due.add(name)
+
+    def _ask(self) -> None:
+        now_s = self._parts.clock.now_s()
+        allocator = self._parts.chooser.allocator(self._parts.data_centre)
+        names, self._due = self._due, set()
+        if not allocator:
+            return
+        asks = []
+        for name in names:
+            account = self._account(name)
+            tokens = account.borrowed.wanted(len(account.waiters), now_s)
+            if tokens > 0:
+                asks.append(
+                    self._questions.open(allocator, name, tokens, now_s)
+                )
+        if asks:
+            self._parts.send(allocator, messages.TokenRequest(tuple(asks)))
+            self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        if not self._sweeping:
+            self._sweeping = True
+            self._parts.timers.after(_SWEEP_S, self._sweep)
+
+    def _sweep(self) -> None:
+        now_s = self._parts.clock.now_s()
+        self._sweeping = False
+        for sent in self._questions.expire(_ANSWER_S, now_s):
+            self._on_unanswered(sent.to)
+        waiting = False
+        for name, account in self._accounts.items():
+            self._give_up(account, now_s)
+            if account.waiters:
+                waiting = True
+                self._ask_if_wanted(name, account, now_s)
+        if waiting or self._questions.any_open:
+            self._sweep_later()
+
+    def _on_unanswered(self, allocator: str) -> None:
+        # The rightful one is silent too until owners have turned to it, so
+        # it is passed over only after as long as the owners take to do so.
+        self._unanswered += 1
+        if self._unanswered >= _MOST_UNANSWERED:
+            self._unanswered = 0
+            self._parts.chooser.suspect(allocator)
+
+    def _give_up(self, account: _Account, now_s: float) -> None:
+        waiters = account.waiters
+        while waiters and now_s >= waiters[0].until_s:
+            waiter = waiters.popleft()
+            if not waiter.settled.done():
+                waiter.settled.set_result(None)
+
+    def _admit(self, account: _Account) -> outcomes.Verdict:
+        account.admitted += 1
+        return outcomes.ADMIT
+
+    def _refuse(self, account: _Account, wait_s: float) -> outcomes.Verdict:
+        account.refused += 1
+        return outcomes.Refuse(outcomes.LIMITED, max(_SHORTEST_RETRY_S, wait_s))
+
+    def _account(self, name: str) -> _Account:
+        found = self._accounts.get(name)
+        if found is None:
+            now_s = self._parts.clock.now_s()
+            borrowed = borrowing.create_borrowed(now_s)
+            found = _Account(borrowed, collections.deque())
+            self._accounts[name] = found
+        return found
+
+
+def create_spender(parts: Parts) -> Spender:
+    """Returns a spender that has borrowed nothing yet."""
+    return Spender(parts)
--- a/src/savorybend/internal/wire/limits.py
+++ b/src/savorybend/internal/wire/limits.py
@@ -3,45 +3,141 @@
 import msgspec
 
 
-class TokenRequest(
-    msgspec.Struct, frozen=True, array_like=True, tag="limits.request"
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a data centre's share of every account.
+
+    Attributes:
+        index: Which part.
+        serial: Which grant of it; rises with each new owner.
+    """
+
+    index: int
+    serial: int
+
+
+class Entrust(
+    msgspec.Struct, frozen=True, array_like=True, tag="limits.entrust"
+):
+    """Entrusts an owner's parts to an allocator for a short time.
+
+    Attributes:
+        owner_incarnation: The owner's incarnation.
+        allocator_incarnation: Whose stamp this carries; zero for none.
+        stamp_s: The newest stamp of the allocator that the owner knows.
+        sent_s: The owner's clock, returned in the answer.
+        parts: What is entrusted.
+        released: What the owner has given up for good.
+    """
+
+    owner_incarnation: int
+    allocator_incarnation: int
+    stamp_s: float
+    sent_s: float
+    parts: tuple[Part, ...] = ()
+    released: tuple[Part, ...] = ()
+
+
+class Entrusted(
+    msgspec.Struct, frozen=True, array_like=True, tag="limits.entrusted"
+):
+    """Answers `Entrust`, and tells a daemon of parts that it was granted.
+
+    Attributes:
+        owner_incarnation: The incarnation that is answered.
+        allocator_incarnation: The allocator's incarnation.
+        stamp_s: The allocator's clock, to be carried by the next `Entrust`.
+        sent_s: The clock in the message answered; zero where there is none.
+        age_s: How old the allocator's copy of the ledger is, in seconds.
+        parts: What the ledger grants the owner.
+    """
+
+    owner_incarnation: int
+    allocator_incarnation: int
+    stamp_s: float
+    sent_s: float
+    age_s: float
+    parts: tuple[Part, ...] = ()
+
+
+class Withdraw(
+    msgspec.Struct, frozen=True, array_like=True, tag="limits.withdraw"
+):
+    """Takes an owner's parts back, to entrust them to another allocator.
+
+    Attributes:
+        owner_incarnation: The owner's incarnation.
+        sent_s: The owner's clock, returned in the answer.
+        parts: What is taken back.
+    """
+
+    owner_incarnation: int
+    sent_s: float
+    parts: tuple[Part, ...]
+
+
+class Withdrawn(
+    msgspec.Struct, frozen=True, array_like=True, tag="limits.withdrawn"
 ):
-    """Asks the allocator of a data centre for tokens.
+    """Answers `Withdraw`: nothing of those parts is lent any more.
 
     Attributes:
-        epoch: The allocator's epoch as the asking daemon knows it.
-        sequence: Counts the asking daemon's requests, so that a repeated
-            message is not granted twice.
+        owner_incarnation: The incarnation that is answered.
+        allocator_incarnation: The allocator's incarnation.
+        sent_s: The clock in the message answered.
+    """
+
+    owner_incarnation: int
+    allocator_incarnation: int
+    sent_s: float
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for tokens of one account.
+
+    Attributes:
+        sequence: Names the question, so that no loan is counted twice.
         client_account: Whose tokens.
         tokens: How many.
     """
 
-    epoch: int
     sequence: int
     client_account: str
-    tokens: float
+    tokens: int
 
 
-class TokenLoan(
-    msgspec.Struct, frozen=True, array_like=True, tag="limits.loan"
-):
-    """Lends tokens.
+class Loan(msgspec.Struct, frozen=True, array_like=True):
+    """Lends tokens of one account.
 
     Attributes:
-        epoch: The allocator's epoch.
-        sequence: The request that this answers.
+        sequence: The question that this answers.
         client_account: Whose tokens.
         tokens: How many; each may be spent once.
-        valid_s: How long they may be spent, in seconds from the request.
+        valid_s: How long they may be spent, in seconds from the question.
         retry_after_s: When to ask again where too few were lent.
     """
 
-    epoch: int
     sequence: int
     client_account: str
-    tokens: float
+    tokens: int
     valid_s: float
     retry_after_s: float
 
 
-Message = TokenRequest | TokenLoan
+class TokenRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag="limits.request"
+):
+    """Asks an allocator for tokens of some accounts."""
+
+    asks: tuple[Ask, ...]
+
+
+class TokenLoan(
+    msgspec.Struct, frozen=True, array_like=True, tag="limits.loan"
+):
+    """Answers questions of a `TokenRequest`; some may be answered later."""
+
+    loans: tuple[Loan, ...]
+
+
+Message = Entrust | Entrusted | Withdraw | Withdrawn | TokenRequest | TokenLoan
+KINDS = (Entrust, Entrusted, Withdraw, Withdrawn, TokenRequest, TokenLoan)
