Prove the bound of the fleet's limits under faults

Cause: the limits had no test of their own. Change: a stateful test drives five limiters of two data centres by hand, through cuts, pauses, kills, replacements, blind spots, lost, late and repeated messages, platform outages and lost replies, and configurations in force at some daemons only. Each window is metered, and no part may be in two hands at once. Found and mended on the way: an owner whose parts rested answered each answer of an allocator, without end.

--- a/src/savorybend/internal/entrusting.py
+++ b/src/savorybend/internal/entrusting.py
@@ -63,7 +63,7 @@
         self._holdings.on_entrusted(peer, message, now_s)
         self._hinted = not message.sent_s
         idle = before[0] != peer and self._holdings.may_bind(peer, now_s)
-        if self._hinted or (idle and self._holdings.owned):
+        if self._hinted or (idle and self._holdings.usable(now_s)):
             # Without this the parts would rest until the next tick.
             self.tick()
 
--- a/src/savorybend/internal/holdings.py
+++ b/src/savorybend/internal/holdings.py
@@ -76,6 +76,23 @@
         bound = self._bound_to == (allocator, stamp.incarnation)
         return bound or now_s >= self._until_s
 
+    def usable(self, now_s: float) -> tuple[messages.Part, ...]:
+        """Returns the parts that may be entrusted to somebody now."""
+        # Entrusted until a little later, so the hold must last until then.
+        end_s = now_s + allocation.ENTRUST_S
+        lapsed = [
+            index
+            for index, owned in self._owned.items()
+            if end_s >= owned.confirmed_s + HOLD_S
+        ]
+        for index in lapsed:
+            del self._owned[index]
+        return tuple(
+            messages.Part(index, owned.serial)
+            for index, owned in self._owned.items()
+            if owned.usable_from_s <= now_s
+        )
+
     def entrust(self, allocator: str, now_s: float) -> messages.Entrust:
         """Returns the message that entrusts the parts to an allocator.
 
@@ -86,7 +103,7 @@
         target = (allocator, stamp.incarnation)
         parts: tuple[messages.Part, ...] = ()
         if self.may_bind(allocator, now_s):
-            parts = self._usable(now_s)
+            parts = self.usable(now_s)
         if parts:
             self._bound_to = target
             self._until_s = now_s + allocation.ENTRUST_S
@@ -178,22 +195,6 @@
             latest_s = max(known.confirmed_s, confirmed_s)
             self._owned[part.index] = known._replace(confirmed_s=latest_s)
 
-    def _usable(self, now_s: float) -> tuple[messages.Part, ...]:
-        # Entrusted until a little later, so the hold must last until then.
-        end_s = now_s + allocation.ENTRUST_S
-        lapsed = [
-            index
-            for index, owned in self._owned.items()
-            if end_s >= owned.confirmed_s + HOLD_S
-        ]
-        for index in lapsed:
-            del self._owned[index]
-        return tuple(
-            messages.Part(index, owned.serial)
-            for index, owned in self._owned.items()
-            if owned.usable_from_s <= now_s
-        )
-
     def _free(self, now_s: float) -> tuple[messages.Part, ...]:
         return tuple(
             messages.Part(index, release.serial)
--- a/src/savorybend/internal/limits.py
+++ b/src/savorybend/internal/limits.py
@@ -105,6 +105,11 @@
         """What keeps the data centre's ledger."""
         return self._keeper
 
+    def parts_in_hand(self) -> frozenset[int]:
+        """Returns the parts that this daemon lends from now."""
+        self._allocator.advance(self._clock.now_s())
+        return self._allocator.indexes
+
     async def take(
         self, account: snapshot.Account, deadline_s: float
     ) -> outcomes.Verdict:
--- a/src/savorybend/internal/spending.py
+++ b/src/savorybend/internal/spending.py
@@ -151,7 +151,7 @@
             return
         # Questions of one turn of the loop share a message.
         if not self._due:
-            asyncio.get_running_loop().call_soon(self._ask)
+            self._parts.timers.after(0.0, self._ask)
         self._due.add(name)
 
     def _ask(self) -> None:
--- /dev/null
+++ b/tests/limitsite.py
@@ -0,0 +1,263 @@
+"""Several limiters in one process: fakes at the interfaces, time by hand."""
+
+import asyncio
+import heapq
+import itertools
+import random
+
+from savorybend import configuration
+from savorybend.internal import errors
+from savorybend.internal import limits
+from savorybend.internal import members
+from savorybend.internal import outcomes
+from savorybend.internal import platform
+from savorybend.internal import snapshot
+from savorybend.internal import timers
+from savorybend.internal.wire import codec
+from tests import fakes
+
+ACCOUNT = "maruyama"
+_STEP_S = 0.01
+_KEEPER_S = 1.0
+_CUSTODY_STEPS = 5
+_LATENCY_S = {True: 0.001, False: 0.003}
+
+
+class Store:
+    """The platform's objects; can be down, or lose replies."""
+
+    def __init__(self):
+        self._objects = {}
+        self._versions = itertools.count(1)
+        self.mode = "up"
+        self.writes = 0
+
+    async def get(self, kind, name):
+        self._check()
+        return self._objects.get((kind, name), platform.NO_OBJECT)
+
+    async def put(self, kind, name, value, expected):
+        self._check()
+        found = self._objects.get((kind, name))
+        if (found.version if found else platform.ABSENT) != expected:
+            raise errors.ConflictError("changed since")
+        version = next(self._versions)
+        self._objects[kind, name] = platform.Object(name, version, value)
+        self.writes += 1
+        if self.mode == "reply-lost":
+            raise errors.PlatformUnavailableError("the reply was lost")
+        return version
+
+    def _check(self):
+        if self.mode == "down":
+            raise errors.PlatformUnavailableError("down")
+
+
+class _OffsetClock:
+    def __init__(self, clock, offset_s):
+        self._clock = clock
+        self._offset_s = offset_s
+
+    def now_s(self):
+        return self._clock.now_s() + self._offset_s
+
+
+class Daemon:
+    """A limiter with a clock, a directory and a connection of its own."""
+
+    def __init__(self, site, record, offset_s):
+        self.record = record
+        self.paused = False
+        self.inbox = []
+        self.version = -1
+        self.directory = members.create_directory(record)
+        self.clock = _OffsetClock(site.clock, offset_s)
+        self.timers = timers.create_manual_timer_service(self.clock)
+        self.next_keeper_s = 0.0
+        self.limiter = limits.create_limiter(
+            limits.Parts(
+                timers=self.timers,
+                directory=self.directory,
+                store=site.store,
+                send=lambda peer, message: site.send(self, peer, message),
+                random=random.Random(record.name),
+            )
+        )
+
+
+class Site:
+    """Daemons, a network with faults between them, and what was admitted."""
+
+    def __init__(self, seed, data_centres=("east", "west")):
+        self.clock = fakes.create_clock()
+        self.store = Store()
+        self.daemons = {}
+        self.offered = self.refused = self.lost = self.sent = 0
+        self.admissions = []
+        self.loss = self.repeats = self.delay_s = 0.0
+        self._random = random.Random(seed)
+        self._centres = data_centres
+        self._cuts = set()
+        self._network = []
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+        self._snapshots = []
+        self._loop = asyncio.new_event_loop()
+
+    def close(self):
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._turn()
+        self._loop.close()
+
+    def add(self, name, data_centre, address=""):
+        """Starts a daemon; one of the same name is replaced."""
+        record = members.Record(
+            name=name,
+            incarnation=next(self._incarnations),
+            data_centre=data_centre,
+            service="back",
+            call_address="",
+            peer_address=address or name,
+            admin_address="",
+            public_key=f"{name}-{self.clock.now_s()}",
+        )
+        offset_s = self._random.uniform(0, 10_000)
+        daemon = self.daemons[name] = Daemon(self, record, offset_s)
+        self.daemons[name].version = -1
+        for other in self.daemons.values():
+            other.directory.put(record)
+            daemon.directory.put(other.record)
+        if self._snapshots:
+            self.tell(name)
+
+    def remove(self, name):
+        """Ends a daemon without a word; the others learn of it."""
+        gone = self.daemons.pop(name)
+        for other in self.daemons.values():
+            other.directory.remove(name, gone.record.incarnation)
+
+    def configure(self, rate_per_s, burst):
+        """Makes a configuration, in force nowhere yet."""
+        site = configuration.create_site(list(self._centres))
+        site.add_client_account(ACCOUNT, rate_per_s=rate_per_s, burst=burst)
+        text = site.to_json().encode()
+        version = len(self._snapshots)
+        self._snapshots.append(snapshot.create_snapshot(version, text))
+
+    def tell(self, name):
+        """Puts the newest configuration in force at a daemon."""
+        daemon = self.daemons[name]
+        daemon.version = len(self._snapshots) - 1
+        daemon.limiter.configure(self._snapshots[-1])
+
+    def account_of(self, daemon):
+        """Returns the account as a daemon knows it."""
+        return self._snapshots[daemon.version].accounts[ACCOUNT]
+
+    def in_force(self):
+        """Returns the account's limits, as any daemon has them in force."""
+        return {self.account_of(daemon) for daemon in self.daemons.values()}
+
+    def cut(self, some):
+        """Cuts `some` off from the others."""
+        rest = set(self.daemons) - set(some)
+        self._cuts = {(a, b) for a in some for b in rest}
+
+    def heal(self):
+        self._cuts = set()
+
+    def send(self, sender, peer, message):
+        """Passes a message on as the network is just now."""
+        self.sent += 1
+        name = sender.record.name
+        if (name, peer) in self._cuts or (peer, name) in self._cuts:
+            return
+        if self._random.random() < self.loss or peer not in self.daemons:
+            return
+        data = codec.encode(message)
+        near = sender.record.data_centre == (
+            self.daemons[peer].record.data_centre
+        )
+        for _ in range(1 + (self._random.random() < self.repeats)):
+            late_s = self._random.uniform(0, self.delay_s)
+            due_s = self.clock.now_s() + _LATENCY_S[near] + late_s
+            order = next(self._order)
+            heapq.heappush(self._network, (due_s, order, name, peer, data))
+
+    def run(self, seconds, calls_per_s):
+        """Lets time pass while calls arrive.
+
+        Args:
+            seconds: How long.
+            calls_per_s: How many calls a second arrive at each daemon.
+        """
+        due = dict.fromkeys(calls_per_s, 0.0)
+        for step in range(round(seconds / _STEP_S)):
+            self.clock.advance(_STEP_S)
+            if step % _CUSTODY_STEPS == 0:
+                self._check_custody()
+            for name in due:
+                due[name] += calls_per_s[name] * _STEP_S
+                while due[name] >= 1:
+                    due[name] -= 1
+                    self.offer(name)
+            self._settle()
+
+    def offer(self, name):
+        """Sends a call to a daemon."""
+        daemon = self.daemons.get(name)
+        if daemon is not None and not daemon.paused:
+            self.offered += 1
+            self._loop.create_task(self._call(daemon))
+
+    async def _call(self, daemon):
+        account = self.account_of(daemon)
+        deadline_s = daemon.clock.now_s() + 5.0
+        verdict = await daemon.limiter.take(account, deadline_s)
+        if verdict is outcomes.ADMIT:
+            self.admissions.append(self.clock.now_s())
+        else:
+            self.refused += 1
+
+    def _check_custody(self):
+        for centre in self._centres:
+            hands = [
+                daemon.limiter.parts_in_hand()
+                for daemon in self.daemons.values()
+                if daemon.record.data_centre == centre
+            ]
+            parts = sum(len(hand) for hand in hands)
+            assert parts == len(frozenset().union(*hands)), hands
+
+    def _settle(self):
+        # Messages of one step may call forth others that arrive in it, too.
+        busy = True
+        while busy:
+            self._deliver()
+            awake = [d for d in self.daemons.values() if not d.paused]
+            busy = any(daemon.inbox for daemon in awake)
+            for daemon in awake:
+                self._work(daemon)
+            self._turn()
+
+    def _work(self, daemon):
+        inbox, daemon.inbox = daemon.inbox, []
+        for sender, data in inbox:
+            daemon.limiter.receive(sender, codec.decode(data))
+        daemon.timers.run_due()
+        if self.clock.now_s() >= daemon.next_keeper_s:
+            daemon.next_keeper_s = self.clock.now_s() + _KEEPER_S
+            self._loop.run_until_complete(daemon.limiter.keeper.step())
+
+    def _deliver(self):
+        now_s = self.clock.now_s()
+        while self._network and self._network[0][0] <= now_s:
+            _, _, sender, peer, data = heapq.heappop(self._network)
+            if peer in self.daemons:
+                self.daemons[peer].inbox.append((sender, data))
+
+    def _turn(self):
+        for _ in range(2):
+            self._loop.call_soon(self._loop.stop)
+            self._loop.run_forever()
