Keep a tenth of the burst for loans instead of a quarter

Cause: the depth left was three quarters of the burst, so that a whole burst at once lost a quarter of its calls. Change: a tenth, and the lender borrows ahead for half a loan's time at most.

--- a/src/savorybend/internal/allocation.py
+++ b/src/savorybend/internal/allocation.py
@@ -171,6 +171,10 @@
         if known is not None and known.serial <= serial:
             self._drop(index)
 
+    def loan_s(self, name: str) -> float:
+        """Returns how long lent tokens of an account hold, in seconds."""
+        return self._terms.get(name, terms_module.NOTHING).loan_s
+
     def level(self, name: str, now_s: float) -> float:
         """Returns the tokens that could be lent now."""
         bucket = self._bucket(name, now_s)
--- a/src/savorybend/internal/lending.py
+++ b/src/savorybend/internal/lending.py
@@ -204,7 +204,9 @@
         if not donors:
             return False
         missing = sum(w.ask.tokens - w.tokens for w in self._waiting[name])
-        ahead = self._demand_of(name, now_s).per_s(now_s) * _KEEP_S
+        # What is borrowed ahead must be spent before it lapses.
+        ahead_s = min(_KEEP_S, self._allocator.loan_s(name) / 2)
+        ahead = self._demand_of(name, now_s).per_s(now_s) * ahead_s
         each = -(-max(missing, int(ahead)) // len(donors))
         first = next(self._turn) % len(donors)
         for centre in donors[first:] + donors[:first]:
--- a/src/savorybend/internal/terms.py
+++ b/src/savorybend/internal/terms.py
@@ -10,9 +10,9 @@
 PARTS = 32
 
 LONGEST_LOAN_S = 1.0
-# Lending costs depth, rate times the loan's time; a quarter of the burst is
-# given up for it and three quarters are left to be used as burst.
-_LENT_PART_OF_BURST = 0.25
+# Lending costs depth, rate times the loan's time; a tenth of the burst is
+# given up for it and nine tenths are left to be used as burst.
+_LENT_PART_OF_BURST = 0.1
 
 
 class Terms(typing.NamedTuple):
