--- a/src/savorybend/internal/ctl/commands.py
+++ b/src/savorybend/internal/ctl/commands.py
@@ -15,6 +15,7 @@
 from savorybend.internal.ctl import configuration
 from savorybend.internal.ctl import exits
 from savorybend.internal.ctl import fleet
+from savorybend.internal.ctl import force
 from savorybend.internal.ctl import requests
 from savorybend.internal.ctl import tables
 
@@ -22,6 +23,9 @@
 _DAEMON = "SAVORYBEND_DAEMON"
 _ADMIN_KEY = "SAVORYBEND_ADMIN_KEY"
 
+# Commands about the configuration that the daemons answer.
+_FLEET_ACTIONS = ("status", "wait")
+
 _COLUMNS = {
     "daemons": ("name", "data_centre", "service", "state", "call_address"),
     "routes": (
@@ -87,6 +91,15 @@
                 help="the version that you started from; it must still hold",
             )
     actions.add_parser("show", help="print the document on the platform")
+    status = actions.add_parser("status", help="what each daemon has in force")
+    _add_json(status)
+    wait = actions.add_parser(
+        "wait", help="wait until a version is in force at every daemon"
+    )
+    wait.add_argument("version", type=int)
+    wait.add_argument(
+        "--seconds", type=float, default=10.0, help="how long to wait"
+    )
 
 
 def _add_fleet(topics) -> None:
@@ -148,7 +161,7 @@
         case ("config", "check"):
             return configuration.check(configuration.read(options.file), print)
     async with aiohttp.ClientSession() as session:
-        if options.topic == "config":
+        if options.topic == "config" and options.action not in _FLEET_ACTIONS:
             return await _run_configuration(options, session)
         return await _run_fleet(options, session)
 
@@ -181,6 +194,14 @@
         )
     source = fleet.Fleet(session, str(address), admin_key)
     match (options.topic, getattr(options, "action", "")):
+        case ("config", "wait"):
+            code, text = await force.wait(
+                source, options.version, options.seconds
+            )
+            print(text)
+            return code
+        case ("config", _):
+            text = await force.show(source, options.json)
         case ("request", "show"):
             text = await requests.show(source, options.request_id, options.json)
         case ("request", "list"):
