--- a/examples/demo.py
+++ b/examples/demo.py
@@ -161,13 +161,16 @@
     return "\n".join(f"  {line}" for line in text.splitlines())
 
 
-async def _demonstrate(deployment: deployments.Deployment) -> bool:
+async def demonstrate(deployment: deployments.Deployment) -> bool:
+    """Runs one deployment; returns whether all went well."""
     print(f"\n{deployment.name}: starting {len(_workers(deployment))} workers")
     async with sites.create_site() as site:
         await site.add(_workers(deployment))
         made, stored = await _make_keys(site, deployment)
         version = await _submit(site, deployment, stored)
         await site.wait_ready(version)
+        _, output = await site.ctl("config", "wait", str(version))
+        print(f"  savorybendctl config wait: {output.strip()}")
         results = await _call_all(site, deployment, made)
         print(_indent(tables.render(_outcomes(results), as_json=False)))
         await _show_requests(site, results)
@@ -186,8 +189,8 @@
 
 async def _run() -> bool:
     done = [
-        await _demonstrate(kitakaze.DEPLOYMENT),
-        await _demonstrate(directorate.DEPLOYMENT),
+        await demonstrate(kitakaze.DEPLOYMENT),
+        await demonstrate(directorate.DEPLOYMENT),
     ]
     return all(done)
 
