Run a request on a non-idempotent route once

Cause: any daemon started any request ID, so one sent again ran again, and aiohttp resent a PUT by itself where a kept connection broke. Change: IDs come in blocks that belong to a client account, one bit each for "started". Only the issuer starts an ID; other daemons pass it there. Sent again it joins the run or gets the kept answer. Where the issuer is gone, the daemons of the service are asked and refuse the ID from then on; only their "ran" counts, the rest is unknown. The daemon beside the backend server runs an ID once as well, and finishes it when its caller leaves. The issuer takes the account's token, since a refusal at another entry would deny a run. The deadline is checked right before the dispatch. Requests go out through a client middleware that keeps the library from resending. A last try that was not run no longer hides an earlier one that ran. Ruled out: a claim per request on the platform (its write rate, its outages); turning the library's retry off through its private attribute.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -10,15 +10,20 @@
 import aiohttp
 
 from savorybend.internal import admin
+from savorybend.internal import admission
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
 from savorybend.internal import concurrency
 from savorybend.internal import configstore
+from savorybend.internal import dispatching
 from savorybend.internal import entry
 from savorybend.internal import forwarding
+from savorybend.internal import guard
 from savorybend.internal import handles
 from savorybend.internal import httpserver
+from savorybend.internal import inquiries
+from savorybend.internal import issuing
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import local
@@ -28,7 +33,7 @@
 from savorybend.internal import peers
 from savorybend.internal import platform
 from savorybend.internal import receiving
-from savorybend.internal import requestids
+from savorybend.internal import records
 from savorybend.internal import routing
 from savorybend.internal import serving
 from savorybend.internal import settings as settings_module
@@ -79,9 +84,16 @@
         self._gate = concurrency.create_gate(clock)
         self._server = backendserver.create_backend_server(self._gate)
         self._handles = handles.create_handles()
+        self._issuer = issuing.create_issuer(own.name, own.incarnation)
+        self._admission = self._create_admission()
+        self._records = records.create_records(own.name, clock)
         self._serving = self._create_serving(clock)
+        self._dispatcher = self._create_dispatcher(clock, own)
         self._receiver = receiving.create_receiver(
-            self._transport, clock, self._serving, self._directory
+            self._transport,
+            clock,
+            dispatching.create_doorway(self._dispatcher, self._serving),
+            self._directory,
         )
         self._entry = self._create_entry(clock, own)
         self._listeners = self._create_listeners()
@@ -141,6 +153,7 @@
 
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
+        in_flight += self._guard.in_flight + self._records.running
         return in_flight + self._gate.in_use > 0
 
     def _on_configuration(self, _) -> None:
@@ -159,32 +172,73 @@
                 backend_server=self._server,
                 handles=self._handles,
                 journal=self._journal,
+                records=self._records,
                 session=self._session,
             )
         )
 
-    def _create_entry(
+    def _create_admission(self) -> admission.Admission:
+        return admission.create_admission(
+            admission.Parts(
+                configuration=self._configuration,
+                limiter=self._limiter,
+                handles=self._handles,
+                issuer=self._issuer,
+                journal=self._journal,
+            )
+        )
+
+    def _create_dispatcher(
         self, clock: timers.Clock, own: members.Record
-    ) -> entry.Entry:
+    ) -> dispatching.Dispatcher:
+        forwarder = forwarding.create_forwarder(
+            self._transport, clock, self._directory
+        )
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
                 tracker=choice.create_tracker(random.Random()),
                 local=self._serving,
-                forwarder=forwarding.create_forwarder(
-                    self._transport, clock, self._directory
-                ),
+                forwarder=forwarder,
             )
         )
+        self._guard = guard.create_guard(
+            guard.Parts(
+                daemon=own.name,
+                issuer=self._issuer,
+                records=records.create_records(own.name, clock),
+                admit=self._admission.spend,
+                target=router,
+            )
+        )
+        inquirer = inquiries.create_inquirer(
+            inquiries.Parts(self._transport, self._journal, self._records)
+        )
+        return dispatching.create_dispatcher(
+            dispatching.Parts(
+                clock=clock,
+                directory=self._directory,
+                issuer=self._issuer,
+                guard=self._guard,
+                router=router,
+                forwarder=forwarder,
+                inquirer=inquirer,
+            )
+        )
+
+    def _create_entry(
+        self, clock: timers.Clock, own: members.Record
+    ) -> entry.Entry:
         return entry.create_entry(
             entry.Parts(
                 daemon=own.name,
                 clock=clock,
                 configuration=self._configuration,
-                limiter=self._limiter,
-                target=router,
+                admission=self._admission,
+                target=self._dispatcher,
+                guard=self._guard,
                 handles=self._handles,
-                issuer=requestids.create_issuer(own.name, own.incarnation),
+                issuer=self._issuer,
                 journal=self._journal,
                 body_limit_bytes=self._settings.body_limit_bytes,
                 entries=self._entries,
--- /dev/null
+++ b/src/savorybend/internal/guard.py
@@ -0,0 +1,91 @@
+"""Starts requests that must not run twice, if this daemon issued their IDs."""
+
+import collections.abc
+import typing
+
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import fingerprints
+from savorybend.internal import issuing
+from savorybend.internal import outcomes
+from savorybend.internal import records
+from savorybend.internal import requestids
+
+# Decides whether the client account may spend a token on the call.
+Admit = collections.abc.Callable[
+    [calls.Call], collections.abc.Awaitable[outcomes.Verdict]
+]
+
+
+class Parts(typing.NamedTuple):
+    """What a guard is made of."""
+
+    daemon: str
+    issuer: issuing.Issuer
+    records: records.Records
+    admit: Admit
+    target: calls.Target
+
+
+class Guard:
+    """The one place that starts the IDs of this daemon's incarnation.
+
+    Its word is final for an ID: one that it refused is never started later,
+    since the caller may have taken a new ID for the request meanwhile.
+    """
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were started and are not over."""
+        return self._parts.records.running
+
+    def unstarted(self, request_id: requestids.RequestId) -> bool:
+        """Returns whether it is certain that nothing ran under an ID."""
+        issuer = self._parts.issuer
+        if not issuer.owns(request_id):
+            return False
+        return not issuer.started(request_id)
+
+    async def execute(
+        self, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the answer of the request's only run."""
+        parsed = requestids.parse(call.request_id)
+        standing = self._parts.issuer.standing(parsed, call.client_account)
+        match standing:
+            case issuing.Standing.NEVER_ISSUED:
+                refusal = outcomes.refuse(outcomes.REQUEST_ID_INVALID)
+                return calls.not_run(
+                    refusal, call.request_id, self._parts.daemon
+                )
+            case issuing.Standing.UNUSED:
+                self._parts.issuer.start(parsed)
+            case _ if not self._parts.records.find(call.request_id):
+                return calls.explain(
+                    outcomes.Outcome.UNKNOWN,
+                    outcomes.RECORD_GONE,
+                    call.request_id,
+                    self._parts.daemon,
+                )
+        fingerprint = fingerprints.of_request(call, body)
+        return await self._parts.records.run(
+            call, fingerprint, lambda: self._start(call, body)
+        )
+
+    async def _start(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
+        verdict = await self._parts.admit(call)
+        match verdict:
+            case outcomes.Refuse():
+                return calls.not_run(
+                    verdict, call.request_id, self._parts.daemon
+                )
+            case _:
+                return await self._parts.target.execute(call, body)
+
+
+def create_guard(parts: Parts) -> Guard:
+    """Returns the guard of a daemon's incarnation."""
+    return Guard(parts)
--- a/src/savorybend/internal/journal.py
+++ b/src/savorybend/internal/journal.py
@@ -95,9 +95,15 @@
         self, request_id: str, what: str, outcome: str, reason: str
     ) -> None:
         """Notes a request's outcome."""
-        entry = self.note(request_id, what, reason)
-        entry.outcome = outcome
-        entry.reason = reason
+        self.note(request_id, what, reason)
+        self.settle(request_id, outcome, reason)
+
+    def settle(self, request_id: str, outcome: str, reason: str) -> None:
+        """Sets a request's outcome without an event of its own."""
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            entry.outcome = outcome
+            entry.reason = reason
 
     def show(self, request_id: str) -> Entry | sentinels.Absence:
         """Returns a request's entry, or `NOT_SEEN`."""
--- a/src/savorybend/internal/outcomes.py
+++ b/src/savorybend/internal/outcomes.py
@@ -57,6 +57,25 @@
 REQUEST_ID_INVALID = Reason(
     "request-id-invalid", 400, "send an ID that a daemon issued to you"
 )
+REQUEST_ID_REUSED = Reason(
+    "request-id-reused", 409, "send each new request under a new ID"
+)
+STILL_RUNNING = Reason(
+    "still-running", 409, "send it again under the same ID", 1.0
+)
+ANSWER_NOT_KEPT = Reason(
+    "answer-not-kept", 410, "it is over, and its answer isn't kept any more"
+)
+RECORD_GONE = Reason(
+    "record-gone", 410, "its record isn't kept any more: look at its effect"
+)
+ISSUER_LOST = Reason(
+    "issuer-lost", 502, "look at its effect; it is never started again"
+)
+ISSUER_UNREACHABLE = Reason(
+    "issuer-unreachable", 503, "send it again under the same ID", 1.0
+)
+BODY_LOST = Reason("body-lost", 400, "the request's body broke off")
 BODY_TOO_LARGE = Reason("body-too-large", 413, "send a smaller body")
 TOO_LATE = Reason("too-late", 504, "give the request a longer timeout")
 LIMITED = Reason(
--- a/src/savorybend/internal/requestids.py
+++ b/src/savorybend/internal/requestids.py
@@ -38,19 +38,6 @@
         return f"{self.issuer}.{self.incarnation:x}.{self.sequence:x}{path}"
 
 
-class Issuer:
-    """Issues the IDs of one daemon."""
-
-    def __init__(self, daemon: str, incarnation: int):
-        self._prefix = f"{daemon}.{incarnation:x}."
-        self._sequence = 0
-
-    def issue(self) -> str:
-        """Returns an ID that was never issued before."""
-        self._sequence += 1
-        return f"{self._prefix}{self._sequence:x}"
-
-
 def parse(text: str) -> RequestId | sentinels.Absence:
     """Returns the parts of an ID, or `MALFORMED`."""
     if len(text) > _LONGEST:
@@ -66,8 +53,3 @@
 def child(parent: str, number: int) -> str:
     """Returns the ID of a request's child."""
     return f"{parent}/{number}"
-
-
-def create_issuer(daemon: str, incarnation: int) -> Issuer:
-    """Returns the issuer of a daemon's incarnation."""
-    return Issuer(daemon, incarnation)
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -41,27 +41,42 @@
         """Returns the call's answer, after as many tries as it may have."""
         tried: frozenset[str] = frozenset()
         spent = 0
+        earlier: calls.Answer | None = None
         while True:
             record = self._choose(call, tried)
             match record:
                 case members.Record():
-                    pass
+                    left = call._replace(retries=call.retries - spent)
+                    answer = await self._try(record, left, body)
+                    tried |= {record.name}
                 case outcomes.Refuse():
-                    return self._not_run(call, record, spent)
+                    answer = self._not_run(call, record)
                 case _:
-                    return self._not_run(call, _nowhere(call), spent)
-            left = call.retries - spent
-            answer = await self._try(record, call._replace(retries=left), body)
+                    answer = self._not_run(call, _nowhere(call))
             spent += answer.retries_spent
-            tried |= {record.name}
-            if (
-                spent >= call.retries
-                or not _again(answer, body)
-                or not self._choose(call, tried)
-            ):
+            if earlier is not None and _ran_nothing(answer):
+                # "Not run" would be true of the last try alone.
+                answer = earlier
+            if not self._may_try_again(call, answer, body, spent, tried):
                 return answer._replace(retries_spent=spent)
+            if not _ran_nothing(answer):
+                earlier = answer
             spent += 1
 
+    def _may_try_again(
+        self,
+        call: calls.Call,
+        answer: calls.Answer,
+        body: bodies.Body,
+        spent: int,
+        tried: frozenset[str],
+    ) -> bool:
+        if spent >= call.retries or not body.replayable:
+            return False
+        if not _ran_nothing(answer) or answer.reason not in _ELSEWHERE:
+            return False
+        return bool(self._choose(call, tried))
+
     def _choose(self, call: calls.Call, tried: frozenset[str]):
         return self._tracker.choose(
             choice.Question(
@@ -89,12 +104,9 @@
         return self._forwarder.target(record.name)
 
     def _not_run(
-        self, call: calls.Call, refusal: outcomes.Refuse, spent: int
+        self, call: calls.Call, refusal: outcomes.Refuse
     ) -> calls.Answer:
-        answer = calls.not_run(
-            refusal, call.request_id, self._directory.own.name
-        )
-        return answer._replace(retries_spent=spent)
+        return calls.not_run(refusal, call.request_id, self._directory.own.name)
 
 
 def _nowhere(call: calls.Call) -> outcomes.Refuse:
@@ -104,13 +116,8 @@
     )
 
 
-def _again(answer: calls.Answer, body: bodies.Body) -> bool:
-    """Returns whether another daemon may be given the call."""
-    return (
-        answer.outcome is outcomes.Outcome.NOT_RUN
-        and answer.reason in _ELSEWHERE
-        and body.replayable
-    )
+def _ran_nothing(answer: calls.Answer) -> bool:
+    return answer.outcome is outcomes.Outcome.NOT_RUN
 
 
 class Parts(typing.NamedTuple):
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -10,11 +10,14 @@
 from savorybend.internal import calls
 from savorybend.internal import concurrency
 from savorybend.internal import errors
+from savorybend.internal import fingerprints
 from savorybend.internal import handles
 from savorybend.internal import headers
 from savorybend.internal import journal
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
+from savorybend.internal import records
+from savorybend.internal import sendonce
 from savorybend.internal import timers
 
 # A backend server's own outcomes, where its answer states one.
@@ -33,6 +36,7 @@
     backend_server: backendserver.BackendServer
     handles: handles.Handles
     journal: journal.Journal
+    records: records.Records
     session: aiohttp.ClientSession
 
 
@@ -51,6 +55,16 @@
         self, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
         """Returns the call's answer; nothing ran unless it says so."""
+        if call.idempotent:
+            return await self._run(call, body)
+        # The last word: whatever went wrong on the way here, a call that must
+        # not run twice is dispatched once.
+        fingerprint = fingerprints.of_request(call, body)
+        return await self._parts.records.run(
+            call, fingerprint, lambda: self._run(call, body)
+        )
+
+    async def _run(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
         refusal = self._check(call)
         if refusal is not None:
             return self._not_run(call, refusal)
@@ -59,6 +73,11 @@
             return self._not_run(call, ticket)
         live = self._parts.handles.grant(call)
         flight = _Flight(self._parts, live, ticket)
+        # The wait at the gate, or a pause of this VM, may have used up the
+        # time; the clock counts suspension.
+        if call.deadline_s <= self._parts.clock.now_s():
+            flight.end(whole=False)
+            return self._not_run(call, outcomes.refuse(outcomes.TOO_LATE))
         try:
             return await self._dispatch(flight, body)
         except BaseException:
@@ -106,6 +125,8 @@
             return self._unknown(flight, outcomes.TOO_LATE)
         except (aiohttp.ClientError, OSError, errors.AnswerLostError):
             flight.end(whole=False)
+            if flight.body_lost:
+                return self._unknown(flight, outcomes.BODY_LOST)
             return self._unknown(flight, outcomes.BACKEND_SERVER_LOST)
 
     async def _send(
@@ -122,7 +143,7 @@
         ]
         data = body.whole
         if data is None:
-            data = _parts_of(body)
+            data = _parts_of(body, flight)
             if body.length is not None:
                 sent.append(("Content-Length", str(body.length)))
         return await self._parts.session.request(
@@ -131,6 +152,7 @@
             headers=sent,
             data=data or None,
             allow_redirects=False,
+            middlewares=(sendonce.send_once,),
         )
 
     async def _answer(
@@ -198,7 +220,7 @@
             self._parts.daemon,
             retries_spent=call.retries - flight.live.retries_left,
             threshold=self._parts.gate.threshold,
-        )
+        )._replace(effects=flight.live.effects or not call.idempotent)
 
 
 class _Flight:
@@ -214,6 +236,7 @@
         self._ticket = ticket
         self._over = False
         self.live = live
+        self.body_lost = False
 
     @property
     def call(self) -> calls.Call:
@@ -256,9 +279,13 @@
     return stated, ""
 
 
-async def _parts_of(body: bodies.Body):
-    while data := await body.read():
-        yield data
+async def _parts_of(body: bodies.Body, flight: _Flight):
+    try:
+        while data := await body.read():
+            yield data
+    except (OSError, aiohttp.ClientError, errors.AnswerLostError):
+        flight.body_lost = True
+        raise
 
 
 def _reader(response: aiohttp.ClientResponse):
--- a/src/savorybend/internal/wire/requests.py
+++ b/src/savorybend/internal/wire/requests.py
@@ -22,6 +22,22 @@
     forbid: bool
 
 
+class KeptAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The answer of a request that is over; see `calls.Answer`.
+
+    Attributes:
+        fingerprint: Of the request that it answers.
+    """
+
+    fingerprint: bytes
+    status: int
+    headers: list[tuple[str, str]]
+    outcome: str
+    reason: str
+    decided_by: str
+    data: bytes
+
+
 class Testimony(
     msgspec.Struct, frozen=True, array_like=True, tag="requests.testimony"
 ):
@@ -30,10 +46,34 @@
     Attributes:
         sequence: The inquiry that this answers.
         entry: The journal's entry, or None for a request never seen.
+        running: Whether the request runs beside this daemon now.
+        answer: Its answer, if it ran beside this daemon and is over.
     """
 
     sequence: int
     entry: journal.Entry | None
+    running: bool = False
+    answer: KeptAnswer | None = None
+
+
+class Death(msgspec.Struct, frozen=True, array_like=True, tag="requests.death"):
+    """A backend server died under a request.
+
+    Attributes:
+        fingerprint: Of the request's content.
+        sequence: Counts the deaths that the sender saw.
+    """
+
+    fingerprint: bytes
+    sequence: int
+
+
+class Acquittal(
+    msgspec.Struct, frozen=True, array_like=True, tag="requests.acquittal"
+):
+    """A backend server answered a request that another one died under."""
+
+    fingerprint: bytes
 
 
-Message = Inquiry | Testimony
+Message = Inquiry | Testimony | Death | Acquittal
--- /dev/null
+++ b/tests/integration/test_at_most_once.py
@@ -0,0 +1,164 @@
+"""A request on a non-idempotent route runs once, whatever its caller does."""
+
+import asyncio
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from standins import caller as callers
+from standins import site as sites
+from tests import documents
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+_WORKERS = (
+    sites.Worker("front-1", "east", "front"),
+    sites.Worker("back-1", "east", "back", work_ms=100),
+    sites.Worker("back-2", "west", "back", work_ms=100),
+)
+_POLL_S = 0.05
+_DEADLINE_S = 10.0
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def site():
+    async with sites.create_site() as made:
+        await made.add(_WORKERS)
+        document = documents.create_site().to_json().encode()
+        await made.ctl("config", "submit", "-", stdin=document)
+        await made.wait_ready()
+        yield made
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def maruyama(site):
+    async with aiohttp.ClientSession() as session:
+        yield callers.Caller(session, documents.MARUYAMA.text)
+
+
+async def _post(site, person, entry, request_id, data=b"3 crates"):
+    return await person.call(
+        site.addresses[entry].call,
+        "/back/adjust",
+        method="POST",
+        headers={"Savorybend-Request-Id": request_id},
+        data=data,
+    )
+
+
+async def _take(site, person, issuer):
+    [request_id] = await person.take_ids(site.addresses[issuer].call, 1)
+    return request_id
+
+
+async def _runs(site, request_id):
+    records = [await site.record(name) for name in ("back-1", "back-2")]
+    return sum(record["runs"].get(request_id, 0) for record in records)
+
+
+@pytest.mark.parametrize("issuer", ["front-1", "back-1", "back-2"])
+async def test_a_resent_request_gets_its_first_answer(site, maruyama, issuer):
+    request_id = await _take(site, maruyama, issuer)
+    answers = [
+        await _post(site, maruyama, entry, request_id)
+        for entry in ("front-1", "back-1", "back-2", "front-1")
+    ]
+    assert {answer.outcome for answer in answers} == {"ran"}
+    assert len({answer.body for answer in answers}) == 1
+    assert await _runs(site, request_id) == 1
+
+
+async def test_a_request_resent_while_it_runs_joins_it(site, maruyama):
+    request_id = await _take(site, maruyama, "front-1")
+    answers = await asyncio.gather(
+        *(
+            _post(site, maruyama, entry, request_id)
+            for entry in ("front-1", "back-1", "back-2") * 3
+        )
+    )
+    assert {answer.outcome for answer in answers} == {"ran"}
+    assert await _runs(site, request_id) == 1
+
+
+async def test_a_caller_that_left_finds_the_answer(site, maruyama):
+    request_id = await _take(site, maruyama, "front-1")
+    first = asyncio.create_task(_post(site, maruyama, "back-2", request_id))
+    while await _runs(site, request_id) == 0:
+        await asyncio.sleep(_POLL_S)
+    first.cancel()
+    answer = await _post(site, maruyama, "back-1", request_id)
+    assert answer.outcome == "ran"
+    assert await _runs(site, request_id) == 1
+
+
+async def test_another_request_under_the_id_is_not_run(site, maruyama):
+    request_id = await _take(site, maruyama, "back-1")
+    await _post(site, maruyama, "back-1", request_id)
+    other = await _post(site, maruyama, "front-1", request_id, b"4 crates")
+    assert other.reason == "request-id-reused"
+    assert await _runs(site, request_id) == 1
+
+
+async def test_an_id_is_good_only_for_whom_it_was_issued_to(site, maruyama):
+    request_id = await _take(site, maruyama, "back-1")
+    stranger = callers.Caller(site.session, documents.OTARU.text)
+    issuer, incarnation, _ = request_id.split(".")
+    for person, sent in (
+        (stranger, request_id),
+        (maruyama, f"{issuer}.{incarnation}.ffffff"),
+    ):
+        for entry in ("front-1", "back-1"):
+            answer = await _post(site, person, entry, sent)
+            assert answer.reason == "request-id-invalid"
+            assert answer.outcome == "not-run"
+    assert await _runs(site, request_id) == 0
+
+
+async def test_a_refused_sending_does_not_deny_an_earlier_one(site, maruyama):
+    request_id = await _take(site, maruyama, "back-1")
+    assert (await _post(site, maruyama, "back-1", request_id)).outcome == "ran"
+    stranger = callers.Caller(site.session, "")
+    for entry in ("back-1", "front-1"):
+        refused = await _post(site, stranger, entry, request_id)
+        assert (refused.status, refused.outcome) == (401, "unknown")
+
+
+async def _replace_daemon(site, name, request_id):
+    """Replaces a daemon, and waits until its peers have heard."""
+    site.kill(name)
+    await site.wait_ended(name)
+    await site.start_daemon(name)
+    await site.wait_listening(name)
+    old = int(request_id.split(".")[1], 16)
+    async with asyncio.timeout(_DEADLINE_S):
+        for peer in site.workers:
+            while True:
+                known = await site.ask(peer, "daemons")
+                ages = {row["name"]: row["incarnation"] for row in known}
+                if ages.get(name, old) > old:
+                    break
+                await asyncio.sleep(_POLL_S)
+    await site.wait_ready()
+
+
+async def test_the_answer_outlives_the_issuer(site, maruyama):
+    request_id = await _take(site, maruyama, "front-1")
+    first = await _post(site, maruyama, "front-1", request_id)
+    await _replace_daemon(site, "front-1", request_id)
+    for entry in ("front-1", "back-1", "back-2"):
+        answer = await _post(site, maruyama, entry, request_id)
+        assert (answer.outcome, answer.body) == ("ran", first.body)
+    assert await _runs(site, request_id) == 1
+
+
+async def test_nothing_is_started_for_an_issuer_that_is_gone(site, maruyama):
+    served, unused = await maruyama.take_ids(site.addresses["back-1"].call, 2)
+    await _post(site, maruyama, "back-1", served)
+    await _replace_daemon(site, "back-1", served)
+    for request_id, runs in ((served, 1), (unused, 0)):
+        for entry in ("front-1", "back-1", "back-2"):
+            answer = await _post(site, maruyama, entry, request_id)
+            # The issuer may have served it itself, so "not run" is no proof.
+            assert (answer.outcome, answer.reason) == ("unknown", "issuer-lost")
+        assert await _runs(site, request_id) == runs
