--- a/standins/backend.py
+++ b/standins/backend.py
@@ -66,7 +66,7 @@
             self._in_use += 1
             try:
                 await asyncio.sleep(self._work_s())
-                self.runs[request.headers["Savorybend-Request-Id"]] += 1
+                self._count(request)
                 children = await self._call_children(request)
             finally:
                 self._in_use -= 1
@@ -86,6 +86,13 @@
             return await _stream(request, int(request.headers[_SIZE_HEADER]))
         return web.json_response(body, headers=headers)
 
+    def _count(self, request):
+        request_id = request.headers["Savorybend-Request-Id"]
+        self.runs[request_id] += 1
+        if request.method != "GET":
+            # The site keeps this line when the backend server is killed.
+            print(f"effect {request_id}", flush=True)
+
     def _record(self, request):
         self.header_names.update(name.lower() for name in request.headers)
         text = json.dumps(list(request.headers.items()))
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,6 +1,7 @@
 """Starts a site's processes on loopback: platform, daemons, backend servers."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import os
@@ -172,6 +173,15 @@
         async with self.session.get(url) as answer:
             return await answer.json()
 
+    def effects(self):
+        """Counts the effects of non-GET calls, whoever was killed since."""
+        found = collections.Counter()
+        for name in self.workers:
+            for line in self.log(backend_of(name)).splitlines():
+                if line.startswith("effect "):
+                    found[line.removeprefix("effect ")] += 1
+        return found
+
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
         url = f"http://{self.addresses[name].backend}/control"
--- a/tests/documents.py
+++ b/tests/documents.py
@@ -21,6 +21,13 @@
         priority=0,
         idempotent=False,
     )
+    site.add_route(
+        "order",
+        path="/front/order",
+        service="front",
+        methods=["POST"],
+        idempotent=False,
+    )
     site.add_route(
         "photos", path="/back/photos", service="back", methods=["GET", "PUT"]
     )
