Keep the retries of a request within its entry's budget

Cause: concurrent children were each given the whole budget, nobody retried a failed call, and a parent couldn't tell its own failure from one below. Change: a child borrows half of what is left and gives back what it didn't use. The daemon next to a failure (an error of the backend server's own on an idempotent route, or a backend server lost) retries, unless a daemon below has, something was started that must not run twice, or a second backend server was lost. An error that comes from a child is "partial", which nobody retries. Ruled out: handing each child all that is left, which leaves siblings none; a budget split evenly by the number of children, which is not known.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -10,7 +10,6 @@
 import aiohttp
 
 from savorybend.internal import admin
-from savorybend.internal import admission
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
@@ -23,6 +22,7 @@
 from savorybend.internal import handles
 from savorybend.internal import httpserver
 from savorybend.internal import inquiries
+from savorybend.internal import intake
 from savorybend.internal import issuing
 from savorybend.internal import journal
 from savorybend.internal import limits
@@ -85,7 +85,7 @@
         self._server = backendserver.create_backend_server(self._gate)
         self._handles = handles.create_handles()
         self._issuer = issuing.create_issuer(own.name, own.incarnation)
-        self._admission = self._create_admission()
+        self._intake = self._create_intake()
         self._records = records.create_records(own.name, clock)
         self._serving = self._create_serving(clock)
         self._dispatcher = self._create_dispatcher(clock, own)
@@ -177,9 +177,9 @@
             )
         )
 
-    def _create_admission(self) -> admission.Admission:
-        return admission.create_admission(
-            admission.Parts(
+    def _create_intake(self) -> intake.Intake:
+        return intake.create_intake(
+            intake.Parts(
                 configuration=self._configuration,
                 limiter=self._limiter,
                 handles=self._handles,
@@ -207,7 +207,7 @@
                 daemon=own.name,
                 issuer=self._issuer,
                 records=records.create_records(own.name, clock),
-                admit=self._admission.spend,
+                admit=self._intake.spend,
                 target=router,
             )
         )
@@ -234,7 +234,7 @@
                 daemon=own.name,
                 clock=clock,
                 configuration=self._configuration,
-                admission=self._admission,
+                intake=self._intake,
                 target=self._dispatcher,
                 guard=self._guard,
                 handles=self._handles,
--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web
 
-from savorybend.internal import admission
 from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import configstore
@@ -14,6 +13,7 @@
 from savorybend.internal import handles
 from savorybend.internal import headers
 from savorybend.internal import httpanswers
+from savorybend.internal import intake
 from savorybend.internal import issuing
 from savorybend.internal import journal
 from savorybend.internal import metrics
@@ -32,7 +32,7 @@
     daemon: str
     clock: timers.Clock
     configuration: configstore.Store
-    admission: admission.Admission
+    intake: intake.Intake
     target: calls.Target
     guard: guard.Guard
     handles: handles.Handles
@@ -62,7 +62,7 @@
             if request.path.startswith("/savorybend/"):
                 return self._handle_own(request)
             return await self._handle_call(
-                request, self._parts.admission.admit_caller
+                request, self._parts.intake.admit_caller
             )
         finally:
             self._in_flight -= 1
@@ -72,15 +72,13 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Answers a child call that this VM's backend server makes."""
-        return await self._handle_call(
-            request, self._parts.admission.admit_child
-        )
+        return await self._handle_call(request, self._parts.intake.admit_child)
 
     def _handle_own(self, request: web.BaseRequest) -> web.StreamResponse:
         current = self._parts.configuration.in_force
         if not current:
             return self._refuse(outcomes.refuse(outcomes.NOT_CONFIGURED), "")
-        account = admission.account_of(request, current)
+        account = intake.account_of(request, current)
         if not isinstance(account, str):
             return self._refuse(account, "")
         if request.path == _ENTRIES_PATH:
@@ -111,8 +109,7 @@
         body = await self._read_body(request, call)
         if isinstance(body, outcomes.Refuse):
             return self._refuse(body, call.request_id, call)
-        answer = await self._parts.target.execute(call, body)
-        self._settle_child(request, answer)
+        answer = await self._execute(request, call, body)
         response = await httpanswers.send(request, answer, call.request_id)
         passed_s = self._parts.clock.now_s() - started_s
         metrics.call_seconds(
@@ -126,13 +123,26 @@
         )
         return response
 
+    async def _execute(
+        self, request: web.BaseRequest, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        live = self._parts.handles.find(request.headers.get(headers.HANDLE, ""))
+        if not call.depth or not live:
+            return await self._parts.target.execute(call, body)
+        answer = await self._parts.target.execute(call, body)
+        self._settle_child(live, call, answer)
+        return answer
+
     def _settle_child(
-        self, request: web.BaseRequest, answer: calls.Answer
+        self,
+        live: handles.LiveRequest,
+        call: calls.Call,
+        answer: calls.Answer,
     ) -> None:
-        live = self._parts.handles.find(request.headers.get(headers.HANDLE, ""))
-        if live:
-            live.retries_left = max(0, live.retries_left - answer.retries_spent)
-            live.effects = live.effects or answer.effects
+        live.take_back_retries(call.retries, answer.retries_spent)
+        live.effects = live.effects or answer.effects
+        if answer.outcome is not outcomes.Outcome.RAN or answer.status >= 500:
+            live.failed_below = True
 
     async def _read_body(
         self, request: web.BaseRequest, call: calls.Call
--- a/src/savorybend/internal/handles.py
+++ b/src/savorybend/internal/handles.py
@@ -16,16 +16,30 @@
 
 
 class LiveRequest:
-    """A request that this VM's backend server is working on."""
-
-    __slots__ = ("_call", "_children", "retries_left", "effects", "handle")
+    """A request that this VM's backend server is working on.
+
+    Attributes:
+        handle: What the backend server shows to make child calls.
+        effects: Whether a call that must not run twice was started behind it.
+        failed_below: Whether a child call failed.
+    """
+
+    __slots__ = (
+        "_call",
+        "_children",
+        "_retries_left",
+        "effects",
+        "failed_below",
+        "handle",
+    )
 
     def __init__(self, handle: str, call: calls.Call):
         self._call = call
         self._children = 0
         self.handle = handle
-        self.retries_left = call.retries
+        self._retries_left = call.retries
         self.effects = False
+        self.failed_below = False
 
     @property
     def call(self) -> calls.Call:
@@ -37,6 +51,25 @@
         """How many child calls it has made."""
         return self._children
 
+    @property
+    def retries_spent(self) -> int:
+        """Retries that its children used, or still hold."""
+        return self._call.retries - self._retries_left
+
+    def lend_retries(self) -> int:
+        """Returns how many retries the next child call may use.
+
+        Half of what is left, so that children which run at the same time
+        share it; what a child doesn't use comes back.
+        """
+        lent = (self._retries_left + 1) // 2
+        self._retries_left -= lent
+        return lent
+
+    def take_back_retries(self, lent: int, spent: int) -> None:
+        """Takes back what a child was lent and didn't use."""
+        self._retries_left += max(0, lent - spent)
+
     def next_child_id(self) -> str:
         """Returns the ID of its next child call."""
         self._children += 1
--- a/src/savorybend/internal/admission.py
+++ b/src/savorybend/internal/intake.py
@@ -20,7 +20,7 @@
 
 
 class Parts(typing.NamedTuple):
-    """What an admission is made of."""
+    """What an intake is made of."""
 
     configuration: configstore.Store
     limiter: limits.Limiter
@@ -29,7 +29,7 @@
     journal: journal.Journal
 
 
-class Admission:
+class Intake:
     """Checks keys, handles, headers and limits."""
 
     def __init__(self, parts: Parts):
@@ -125,7 +125,7 @@
             target=request.path_qs,
             headers=headers.passed_on(request.headers.items()),
             deadline_s=min(parent.deadline_s, now_s + timeout_s),
-            retries=live.retries_left,
+            retries=live.lend_retries(),
             depth=parent.depth + 1,
         )
         live.effects = live.effects or not route.idempotent
@@ -188,6 +188,6 @@
         return outcomes.refuse(outcomes.HEADER_INVALID, str(error))
 
 
-def create_admission(parts: Parts) -> Admission:
-    """Returns the admission of a daemon."""
-    return Admission(parts)
+def create_intake(parts: Parts) -> Intake:
+    """Returns the intake of a daemon."""
+    return Intake(parts)
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -8,6 +8,7 @@
 from savorybend.internal import forwarding
 from savorybend.internal import members
 from savorybend.internal import outcomes
+from savorybend.internal import retryratio
 from savorybend.internal import serving
 
 # Refusals of one daemon that say nothing of the others.
@@ -20,6 +21,68 @@
 )
 
 
+_FIRST_SERVER_ERROR = 500
+
+
+class _Tries:
+    """The tries of one call."""
+
+    __slots__ = (
+        "call",
+        "body",
+        "spent",
+        "tried",
+        "answered",
+        "answer",
+        "last",
+        "_lost",
+    )
+
+    def __init__(self, call: calls.Call, body: bodies.Body):
+        self.call = call
+        self.body = body
+        self.spent = 0
+        self.tried: frozenset[str] = frozenset()
+        self.answered: frozenset[str] = frozenset()
+        self.answer: calls.Answer | None = None
+        self.last: calls.Answer | None = None
+        self._lost = 0
+
+    def next_call(self) -> calls.Call:
+        """Returns the call with the retries that are left."""
+        return self.call._replace(retries=self.call.retries - self.spent)
+
+    def note(self, daemon: str, answer: calls.Answer) -> None:
+        """Takes the answer of a try."""
+        self.spent += answer.retries_spent
+        self.tried |= {daemon}
+        self.last = answer
+        if answer.outcome is outcomes.Outcome.RAN:
+            self.answered |= {daemon}
+        if answer.reason == outcomes.BACKEND_SERVER_LOST.name:
+            self._lost += 1
+        # "Not run" would be true of the last try alone.
+        if self.answer is None or not _ran_nothing(answer):
+            self.answer = answer
+
+    def failed_here(self) -> bool:
+        """Returns whether the daemon just tried failed, and may be repeated.
+
+        Not where a daemon below has retried, where something was started that
+        must not run twice, or where a second backend server was lost: the
+        request itself may be what they died of.
+        """
+        answer = self.last
+        if not self.call.idempotent or answer.effects:
+            return False
+        if answer.retries_spent or answer.body.whole is None:
+            return False
+        if answer.outcome is outcomes.Outcome.RAN:
+            return answer.status >= _FIRST_SERVER_ERROR
+        lost = answer.reason == outcomes.BACKEND_SERVER_LOST.name
+        return lost and self._lost == 1
+
+
 class Router:
     """Gives calls to daemons of their service."""
 
@@ -30,6 +93,7 @@
         local: serving.Serving,
         forwarder: forwarding.Forwarder,
     ):
+        self._ratio = retryratio.create_retry_ratio()
         self._directory = directory
         self._tracker = tracker
         self._local = local
@@ -39,45 +103,39 @@
         self, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
         """Returns the call's answer, after as many tries as it may have."""
-        tried: frozenset[str] = frozenset()
-        spent = 0
-        earlier: calls.Answer | None = None
+        self._ratio.note_call()
+        tries = _Tries(call, body)
         while True:
-            record = self._choose(call, tried)
-            match record:
-                case members.Record():
-                    left = call._replace(retries=call.retries - spent)
-                    answer = await self._try(record, left, body)
-                    tried |= {record.name}
-                case outcomes.Refuse():
-                    answer = self._not_run(call, record)
+            match self._choose(tries):
+                case members.Record() as record:
+                    answer = await self._try(record, tries.next_call(), body)
+                    tries.note(record.name, answer)
+                case outcomes.Refuse() as refusal:
+                    tries.note("", self._not_run(call, refusal))
                 case _:
-                    answer = self._not_run(call, _nowhere(call))
-            spent += answer.retries_spent
-            if earlier is not None and _ran_nothing(answer):
-                # "Not run" would be true of the last try alone.
-                answer = earlier
-            if not self._may_try_again(call, answer, body, spent, tried):
-                return answer._replace(retries_spent=spent)
-            if not _ran_nothing(answer):
-                earlier = answer
-            spent += 1
-
-    def _may_try_again(
-        self,
-        call: calls.Call,
-        answer: calls.Answer,
-        body: bodies.Body,
-        spent: int,
-        tried: frozenset[str],
-    ) -> bool:
-        if spent >= call.retries or not body.replayable:
+                    tries.note("", self._not_run(call, _nowhere(call)))
+            if not self._may_try_again(tries):
+                return tries.answer._replace(retries_spent=tries.spent)
+            tries.spent += 1
+
+    def _may_try_again(self, tries: "_Tries") -> bool:
+        if tries.spent >= tries.call.retries or not tries.body.replayable:
             return False
-        if not _ran_nothing(answer) or answer.reason not in _ELSEWHERE:
+        if _ran_nothing(tries.last):
+            elsewhere = tries.last.reason in _ELSEWHERE
+            return elsewhere and bool(self._choose(tries))
+        if not tries.failed_here():
             return False
-        return bool(self._choose(call, tried))
+        return bool(self._choose(tries)) and self._ratio.take()
+
+    def _choose(self, tries: "_Tries"):
+        found = self._choose_among(tries.call, tries.tried)
+        if not found and tries.answered:
+            # One that answered with an error is better than none.
+            return self._choose_among(tries.call, tries.tried - tries.answered)
+        return found
 
-    def _choose(self, call: calls.Call, tried: frozenset[str]):
+    def _choose_among(self, call: calls.Call, tried: frozenset[str]):
         return self._tracker.choose(
             choice.Question(
                 self._directory.own,
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -180,7 +180,7 @@
             if outcome is outcomes.Outcome.NOT_RUN
             else 0.0,
             decided_by=self._parts.daemon,
-            retries_spent=flight.call.retries - live.retries_left,
+            retries_spent=live.retries_spent,
             effects=live.effects or not flight.call.idempotent,
             threshold=self._parts.gate.threshold,
             body=body,
@@ -218,7 +218,7 @@
             reason,
             call.request_id,
             self._parts.daemon,
-            retries_spent=call.retries - flight.live.retries_left,
+            retries_spent=flight.live.retries_spent,
             threshold=self._parts.gate.threshold,
         )._replace(effects=flight.live.effects or not call.idempotent)
 
@@ -270,6 +270,10 @@
 ) -> tuple[outcomes.Outcome, str]:
     stated = _STATED.get(response.headers.get(headers.OUTCOME, ""))
     if stated is None:
+        # An error that comes from below is no reason for the daemon above to
+        # retry: the daemon next to the failure has done so, if anyone may.
+        if response.status >= 500 and live.failed_below:
+            return outcomes.Outcome.PARTIAL, ""
         return outcomes.Outcome.RAN, ""
     if stated is outcomes.Outcome.NOT_RUN:
         # A backend server that made child calls can't have run nothing.
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -32,6 +32,7 @@
         self._session = None
         self.slow = 1.0
         self.fail = False
+        self.fail_above = False
         self.report = None
         self.draining = False
         self.runs = collections.Counter()
@@ -70,7 +71,7 @@
                 children = await self._call_children(request)
             finally:
                 self._in_use -= 1
-        if self.fail:
+        if self._fails(request, children):
             return web.json_response({"error": "told to fail"}, status=500)
         body = {
             "service": self._options.service,
@@ -86,6 +87,13 @@
             return await _stream(request, int(request.headers[_SIZE_HEADER]))
         return web.json_response(body, headers=headers)
 
+    def _fails(self, request, children):
+        if isinstance(self.fail, str) and request.path.startswith(self.fail):
+            return True
+        if self.fail_above and any(c["status"] >= 500 for c in children):
+            return True
+        return self.fail is True
+
     def _count(self, request):
         request_id = request.headers["Savorybend-Request-Id"]
         self.runs[request_id] += 1
@@ -167,10 +175,15 @@
         )
 
     async def control(self, request):
-        """Sets faults: slow, fail, report, drain."""
+        """Sets faults: slow, fail, fail_above, report, drain.
+
+        `fail` may be a path prefix; with `fail_above` the failure of a child
+        call fails its parent.
+        """
         wanted = await request.json()
         self.slow = wanted.get("slow", self.slow)
         self.fail = wanted.get("fail", self.fail)
+        self.fail_above = wanted.get("fail_above", self.fail_above)
         self.report = wanted.get("report", self.report)
         if wanted.get("drain"):
             await self.drain()
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,110 @@
+"""Whatever the daemons answer, tries are few and the outcome is true."""
+
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import choice
+from savorybend.internal import members
+from savorybend.internal import outcomes
+from savorybend.internal import routing
+
+_NAMES = ("back-1", "back-2", "back-3")
+
+
+def _record(name, service="back"):
+    address = "127.0.0.1:1"
+    return members.Record(
+        name, 1, "east", service, address, address, address, name
+    )
+
+
+def _directory():
+    directory = members.create_directory(_record("front-1", "front"))
+    for name in _NAMES:
+        directory.put(_record(name))
+    return directory
+
+
+class _Fleet:
+    """Daemons that give scripted answers, one after the other."""
+
+    def __init__(self, script):
+        self._script = iter(script)
+        self.given = []
+
+    def target(self, name):
+        return self
+
+    async def execute(self, call, body):
+        answer = next(self._script)
+        self.given.append((call, answer))
+        return answer
+
+
+_refused = strategies.sampled_from(
+    [outcomes.ELSEWHERE, outcomes.NO_BACKEND_SERVER, outcomes.OVERLOADED]
+).map(lambda r: calls.not_run(outcomes.refuse(r), "x", "back-1"))
+
+
+@strategies.composite
+def _answers(draw):
+    if draw(strategies.booleans()):
+        return draw(_refused)
+    lost = draw(strategies.booleans())
+    answer = calls.explain(
+        outcomes.Outcome.UNKNOWN if lost else outcomes.Outcome.RAN,
+        outcomes.BACKEND_SERVER_LOST,
+        "x",
+        "back-1",
+        retries_spent=draw(strategies.integers(0, 1)),
+    )
+    return answer._replace(effects=draw(strategies.booleans()))
+
+
+def _call(idempotent, retries):
+    return calls.Call(
+        "front-1.1.1",
+        client_account="maruyama",
+        route="back",
+        service="back",
+        priority=5,
+        idempotent=idempotent,
+        method="GET",
+        target="/back",
+        headers=[],
+        deadline_s=1e9,
+        retries=retries,
+        depth=0,
+    )
+
+
+@hypothesis.given(
+    script=strategies.lists(_answers(), min_size=8, max_size=8),
+    retries=strategies.integers(0, 6),
+    idempotent=strategies.booleans(),
+)
+def test_tries_are_bounded_and_the_outcome_is_true(script, retries, idempotent):
+    fleet = _Fleet(script)
+    tracker = choice.create_tracker(random.Random(1))
+    parts = routing.Parts(_directory(), tracker, None, fleet)
+    router = routing.create_router(parts)
+    call = _call(idempotent, retries)
+    answer = asyncio.run(router.execute(call, bodies.EMPTY))
+    given = [each for _, each in fleet.given]
+    ran = [e for e in given if e.outcome is not outcomes.Outcome.NOT_RUN]
+    below = sum(each.retries_spent for each in given)
+    assert len(given) - 1 + below == answer.retries_spent
+    assert len(given) <= 1 + retries
+    assert (answer.outcome is outcomes.Outcome.NOT_RUN) == (not ran)
+    for each in ran[:-1]:
+        assert idempotent
+        assert not each.effects
+        assert not each.retries_spent
+    lost = [e for e in ran if e.outcome is outcomes.Outcome.UNKNOWN]
+    # A third backend server must not die of the request.
+    assert len(lost) <= 2
