Quarantine a request after two backend servers died under it

Cause: a poison request sent again went to the next backend server, until none was left. Change: a connection that breaks with a call in flight makes the call's content a suspect, and the news goes to the daemons of the service before the answer does. At the second death it is refused as quarantined, for an hour. An answer clears a suspect, so that a harmless request which was in flight at a crash isn't blamed. The fingerprint leaves out headers that differ between sendings, such as traceparent. Ruled out: blaming the newest call alone (a slow crash comes from an older one); holding the answer back until every peer has heard. Left: sendings at the same moment can meet before the news does.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -32,6 +32,7 @@
 from savorybend.internal import membership
 from savorybend.internal import peers
 from savorybend.internal import platform
+from savorybend.internal import quarantine
 from savorybend.internal import receiving
 from savorybend.internal import records
 from savorybend.internal import routing
@@ -173,6 +174,9 @@
                 handles=self._handles,
                 journal=self._journal,
                 records=self._records,
+                quarantine=quarantine.create_quarantine(
+                    quarantine.Parts(self._transport, self._directory, clock)
+                ),
                 session=self._session,
             )
         )
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -1,6 +1,7 @@
 """Gives calls to the backend server on this VM; it has the last word."""
 
 import asyncio
+import collections.abc
 import typing
 
 import aiohttp
@@ -16,6 +17,7 @@
 from savorybend.internal import journal
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
+from savorybend.internal import quarantine
 from savorybend.internal import records
 from savorybend.internal import sendonce
 from savorybend.internal import timers
@@ -37,6 +39,7 @@
     handles: handles.Handles
     journal: journal.Journal
     records: records.Records
+    quarantine: quarantine.Quarantine
     session: aiohttp.ClientSession
 
 
@@ -65,7 +68,7 @@
         )
 
     async def _run(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
-        refusal = self._check(call)
+        refusal = self._check(call, body)
         if refusal is not None:
             return self._not_run(call, refusal)
         ticket = await self._parts.gate.enter(call)
@@ -84,7 +87,11 @@
             flight.end(whole=False)
             raise
 
-    def _check(self, call: calls.Call) -> outcomes.Refuse | None:
+    def _check(
+        self, call: calls.Call, body: bodies.Body
+    ) -> outcomes.Refuse | None:
+        if self._parts.quarantine.blocks(call, body):
+            return outcomes.refuse(outcomes.QUARANTINED)
         if self._draining:
             return outcomes.refuse(outcomes.ELSEWHERE)
         if not self._parts.backend_server.ready:
@@ -111,7 +118,7 @@
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 response = await self._send(flight, body, left_s)
-                return await self._answer(flight, response)
+                return await self._answer(flight, body, response)
         except aiohttp.ClientConnectorError as error:
             # No connection, so the backend server saw nothing of it.
             self._parts.backend_server.trigger("lose")
@@ -127,6 +134,7 @@
             flight.end(whole=False)
             if flight.body_lost:
                 return self._unknown(flight, outcomes.BODY_LOST)
+            self._parts.quarantine.note_death(call, body)
             return self._unknown(flight, outcomes.BACKEND_SERVER_LOST)
 
     async def _send(
@@ -156,16 +164,27 @@
         )
 
     async def _answer(
-        self, flight: "_Flight", response: aiohttp.ClientResponse
+        self,
+        flight: "_Flight",
+        asked: bodies.Body,
+        response: aiohttp.ClientResponse,
     ) -> calls.Answer:
         outcome, reason = _outcome(flight.live, response)
         length = response.content_length
         if length is not None and length <= bodies.INLINE_BYTES:
             body = bodies.WholeBody(await response.read())
             flight.end(whole=True)
+            self._parts.quarantine.note_answer(flight.call, asked)
         else:
             body = bodies.StreamedBody(
-                _reader(response), length, flight.end_of(response)
+                _reader(
+                    response,
+                    lambda: self._parts.quarantine.note_death(
+                        flight.call, asked
+                    ),
+                ),
+                length,
+                flight.end_of(response),
             )
         live = flight.live
         self._parts.journal.close(
@@ -292,11 +311,15 @@
         raise
 
 
-def _reader(response: aiohttp.ClientResponse):
+def _reader(
+    response: aiohttp.ClientResponse,
+    on_broken: collections.abc.Callable[[], None],
+):
     async def read() -> bytes:
         try:
             return await response.content.readany()
         except (aiohttp.ClientError, OSError) as error:
+            on_broken()
             raise errors.AnswerLostError(
                 f"the backend server's answer broke off ({error}): ask about "
                 "the request by its ID"
--- a/standins/site.py
+++ b/standins/site.py
@@ -222,6 +222,10 @@
         """Returns the ID of a process."""
         return self._processes[name].pid
 
+    def ended(self, name):
+        """Returns whether a process has ended."""
+        return self._processes[name].returncode is not None
+
     def kill(self, name):
         """Ends a process at once."""
         self._processes[name].kill()
