Tell a support engineer what became of a request, and what can't be known

Cause: `request show` said "never seen" for anything without an outcome: a request in flight, one whose VM was lost, an ID that nobody used. An account with many requests pushed out the others' entries. "Ran" from anyone stands; then the word of the issuer, which alone may start an ID; without the issuer's incarnation it says that the VM was lost. What ran is not undone by what a later sending is told.

--- a/src/savorybend/internal/admin.py
+++ b/src/savorybend/internal/admin.py
@@ -10,10 +10,10 @@
 from savorybend.internal import configstore
 from savorybend.internal import headers
 from savorybend.internal import httpserver
-from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import members
 from savorybend.internal import metrics
+from savorybend.internal import requestpages
 
 _PREFIX = "/v1/"
 
@@ -38,7 +38,7 @@
     key: str
     configuration: configstore.Store
     directory: members.Directory
-    journal: journal.Journal
+    requests: requestpages.RequestPages
     limiter: limits.Limiter
     status: collections.abc.Callable[[], Status]
     ready: collections.abc.Callable[[], bool]
@@ -86,9 +86,9 @@
             case "limits":
                 return self._limits()
             case "requests" if rest:
-                return self._request(rest)
+                return self._parts.requests.show(rest)
             case "requests":
-                return self._requests(request)
+                return self._parts.requests.find(request)
         return httpserver.json_answer({"error": "no such page"}, 404)
 
     def _metrics(self) -> web.Response:
@@ -115,28 +115,6 @@
         states = self._parts.limiter.states()
         return httpserver.json_answer([state._asdict() for state in states])
 
-    def _request(self, request_id: str) -> web.Response:
-        entry = self._parts.journal.show(request_id)
-        if not entry:
-            return httpserver.json_answer({"error": entry.reason}, 404)
-        return httpserver.json_answer(entry)
-
-    def _requests(self, request: web.BaseRequest) -> web.Response:
-        query = journal.Query(
-            request.query.get("client_account", ""),
-            request.query.get("route", ""),
-            _number(request.query.get("since_s", "0")),
-            int(_number(request.query.get("most", "100"))),
-        )
-        return httpserver.json_answer(self._parts.journal.find(query))
-
-
-def _number(text: str) -> float:
-    try:
-        return float(text)
-    except ValueError:
-        return 0.0
-
 
 def create_pages(parts: Parts) -> Pages:
     """Returns the pages of a daemon."""
--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -35,6 +35,7 @@
 from savorybend.internal import quarantine
 from savorybend.internal import receiving
 from savorybend.internal import records
+from savorybend.internal import requestpages
 from savorybend.internal import routing
 from savorybend.internal import serving
 from savorybend.internal import settings as settings_module
@@ -211,6 +212,7 @@
                 daemon=own.name,
                 issuer=self._issuer,
                 records=records.create_records(own.name, clock),
+                journal=self._journal,
                 admit=self._intake.spend,
                 target=router,
             )
@@ -255,7 +257,11 @@
                 key=self._settings.admin_key,
                 configuration=self._configuration,
                 directory=self._directory,
-                journal=self._journal,
+                requests=requestpages.create_pages(
+                    requestpages.Parts(
+                        self._journal, self._issuer, self._records
+                    )
+                ),
                 limiter=self._limiter,
                 status=self._status,
                 ready=lambda: self.state == "serving",
--- a/src/savorybend/internal/ctl/requests.py
+++ b/src/savorybend/internal/ctl/requests.py
@@ -6,6 +6,7 @@
 
 from savorybend.internal import errors
 from savorybend.internal.ctl import fleet
+from savorybend.internal.ctl import stories
 from savorybend.internal.ctl import tables
 
 _AGO = re.compile(r"(\d+)([smhd])")
@@ -33,19 +34,30 @@
 
 
 async def show(source: fleet.Fleet, request_id: str, as_json: bool) -> str:
-    """Returns what the daemons know of a request."""
-    entries = []
+    """Returns what the daemons know of a request, and what follows."""
+    heard = await _hear(source, request_id)
+    verdict = stories.describe(stories.tell(request_id, heard))
+    if as_json:
+        row = {
+            "verdict": verdict,
+            "entries": heard.entries,
+            "not_reached": heard.silent,
+        }
+        return tables.render([row], as_json=True)
+    return _story(request_id, verdict, heard)
+
+
+async def _hear(source: fleet.Fleet, request_id: str) -> stories.Heard:
+    records = await source.ask("daemons")
+    incarnations = {row["name"]: row["incarnation"] for row in records}
+    knowledge: dict[str, dict] = {}
     silent = []
-    page = f"requests/{request_id}"
-    for daemon, found in await source.ask_all(page):
+    for daemon, found in await source.ask_all(f"requests/{request_id}"):
         if isinstance(found, errors.PeerUnreachableError):
             silent.append(daemon)
         elif found is not None:
-            entries.append(found)
-    if as_json:
-        rows = [{"entries": entries, "not_reached": silent}]
-        return tables.render(rows, as_json=True)
-    return _story(request_id, entries, silent)
+            knowledge[daemon] = found
+    return stories.Heard(knowledge, silent, incarnations)
 
 
 async def list_all(
@@ -69,25 +81,31 @@
                     "reason": entry["reason"],
                 }
             )
-    unique = {row["request_id"]: row for row in rows}
-    newest = sorted(unique.values(), key=lambda r: r["time"], reverse=True)
+    newest = sorted(_merge(rows), key=lambda r: r["time"], reverse=True)
     return tables.render(newest[: int(query["most"])], as_json)
 
 
-def _story(request_id: str, entries: list[dict], silent: list[str]) -> str:
+def _merge(rows: list[dict]) -> list[dict]:
+    """Returns a row for each request, with the outcome that stands."""
+    unique: dict[str, dict] = {}
+    for row in rows:
+        first = unique.setdefault(row["request_id"], row)
+        if stories.weight(row["outcome"]) < stories.weight(first["outcome"]):
+            unique[row["request_id"]] = row
+    return list(unique.values())
+
+
+def _story(request_id: str, verdict: str, heard: stories.Heard) -> str:
     lines = [f"request   {request_id}"]
-    outcome = next((e for e in entries if e["outcome"]), None)
-    named = next((e for e in entries if e["client_account"]), None)
+    named = next((e for e in heard.entries if e["client_account"]), None)
     if named:
         lines.append(f"account   {named['client_account']}")
         lines.append(f"route     {named['route']}")
-    lines.append(f"outcome   {outcome['outcome'] if outcome else 'never seen'}")
-    if outcome and outcome["reason"]:
-        lines.append(f"reason    {outcome['reason']}")
-    events = sorted(event for entry in entries for event in entry["events"])
+    lines.append(f"outcome   {verdict}")
+    events = sorted(event for e in heard.entries for event in e["events"])
     for time_s, daemon, what, detail in events:
         lines.append(f"  {_clock(time_s)}  {daemon}  {what}  {detail}".rstrip())
-    for daemon in silent:
+    for daemon in heard.silent:
         lines.append(f"  not reached: {daemon}; it may know more")
     return "\n".join(lines)
 
--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -25,6 +25,10 @@
 _ENTRIES_PATH = "/savorybend/v1/entries"
 _MOST_IDS = 1000
 
+_NOT_THIS_REQUEST = frozenset(
+    {outcomes.REQUEST_ID_INVALID.name, outcomes.REQUEST_ID_REUSED.name}
+)
+
 
 class Parts(typing.NamedTuple):
     """What an entry is made of."""
@@ -115,13 +119,22 @@
         metrics.call_seconds(
             call.client_account, call.priority, answer.outcome.value
         ).observe(passed_s)
+        self._note_answer(call, answer)
+        return response
+
+    def _note_answer(self, call: calls.Call, answer: calls.Answer) -> None:
+        if answer.reason in _NOT_THIS_REQUEST:
+            # The ID is another request's, whose outcome this isn't.
+            self._parts.journal.note(
+                call.request_id, "sending-refused", answer.reason
+            )
+            return
         self._parts.journal.close(
             call.request_id,
             "answered-caller",
             answer.outcome.value,
             answer.reason,
         )
-        return response
 
     async def _execute(
         self, request: web.BaseRequest, call: calls.Call, body: bodies.Body
@@ -169,11 +182,18 @@
         request_id: str,
         call: calls.Call | None = None,
     ) -> web.Response:
-        outcome = self._outcome_of_refusal(request_id)
+        outcome = outcomes.Outcome.NOT_RUN
+        if call is None or not call.idempotent:
+            outcome = self._outcome_of_refusal(request_id)
         if call is not None:
             self._parts.journal.close(
                 request_id, "refused", outcome.value, refusal.reason.name
             )
+        elif requestids.parse(request_id):
+            # Anyone can send any ID, so it leaves the outcome as it is.
+            self._parts.journal.note(
+                request_id, "sending-refused", refusal.reason.name
+            )
         answer = calls.explain(
             outcome,
             refusal.reason,
--- a/src/savorybend/internal/guard.py
+++ b/src/savorybend/internal/guard.py
@@ -7,6 +7,7 @@
 from savorybend.internal import calls
 from savorybend.internal import fingerprints
 from savorybend.internal import issuing
+from savorybend.internal import journal
 from savorybend.internal import outcomes
 from savorybend.internal import records
 from savorybend.internal import requestids
@@ -23,6 +24,7 @@
     daemon: str
     issuer: issuing.Issuer
     records: records.Records
+    journal: journal.Journal
     admit: Admit
     target: calls.Target
 
@@ -79,11 +81,15 @@
         verdict = await self._parts.admit(call)
         match verdict:
             case outcomes.Refuse():
-                return calls.not_run(
+                answer = calls.not_run(
                     verdict, call.request_id, self._parts.daemon
                 )
             case _:
-                return await self._parts.target.execute(call, body)
+                answer = await self._parts.target.execute(call, body)
+        self._parts.journal.close(
+            call.request_id, "settled", answer.outcome.value, answer.reason
+        )
+        return answer
 
 
 def create_guard(parts: Parts) -> Guard:
--- a/src/savorybend/internal/intake.py
+++ b/src/savorybend/internal/intake.py
@@ -147,7 +147,7 @@
         if route.idempotent:
             # A caller's own ID could come twice, and then name two runs whose
             # non-idempotent children can't be told apart.
-            return self._parts.issuer.issue(account)
+            return self._parts.issuer.issue(account, started=True)
         text = request.headers.get(headers.REQUEST_ID)
         if text is None:
             return outcomes.refuse(outcomes.REQUEST_ID_MISSING)
--- a/src/savorybend/internal/issuing.py
+++ b/src/savorybend/internal/issuing.py
@@ -57,14 +57,21 @@
         self._blocks: dict[int, _Block] = {}
         self._by_account: dict[str, collections.deque[_Block]] = {}
 
-    def issue(self, client_account: str) -> str:
-        """Returns an ID that was never issued before."""
+    def issue(self, client_account: str, *, started: bool = False) -> str:
+        """Returns an ID that was never issued before.
+
+        Args:
+            client_account: Whose request it will name.
+            started: Whether the request is about to be started.
+        """
         blocks = self._by_account.get(client_account)
         if not blocks or blocks[-1].issued == _BLOCK_IDS:
             blocks = self._extend(client_account)
         block = blocks[-1]
         sequence = block.first + block.issued
         block.issued += 1
+        if started:
+            block.start(sequence)
         return f"{self._daemon}.{self._incarnation:x}.{sequence:x}"
 
     def owns(self, request_id: requestids.RequestId) -> bool:
@@ -75,9 +82,16 @@
         )
 
     def standing(
-        self, request_id: requestids.RequestId, client_account: str
+        self,
+        request_id: requestids.RequestId,
+        client_account: str | None = None,
     ) -> Standing:
-        """Returns how an ID stands that a client account has sent."""
+        """Returns how an ID stands.
+
+        Args:
+            request_id: The ID, or that of a child.
+            client_account: Who sent it; None where that doesn't matter.
+        """
         index = request_id.sequence // _BLOCK_IDS
         block = self._blocks.get(index)
         if block is None:
@@ -85,7 +99,7 @@
                 return Standing.RETIRED
             return Standing.NEVER_ISSUED
         issued = request_id.sequence - block.first < block.issued
-        if not issued or block.account != client_account:
+        if not issued or client_account not in (None, block.account):
             return Standing.NEVER_ISSUED
         if block.started(request_id.sequence):
             return Standing.STARTED
--- /dev/null
+++ b/tests/unit/test_journal.py
@@ -0,0 +1,64 @@
+"""The journal is bounded, and no account's requests push out another's."""
+
+import math
+
+import hypothesis
+from hypothesis import strategies
+
+from savorybend.internal import journal
+
+_ACCOUNTS = ("maruyama", "otaru", "")
+_note = strategies.tuples(
+    strategies.sampled_from(_ACCOUNTS),
+    strategies.integers(0, 30),
+    strategies.text(max_size=300),
+)
+
+
+@hypothesis.given(
+    notes=strategies.lists(_note, max_size=200),
+    entries=strategies.integers(1, 10),
+    size=strategies.integers(1000, 10_000),
+)
+def test_it_stays_in_its_bounds_whatever_is_noted(notes, entries, size):
+    kept = journal.create_journal("back-1", entries, size)
+    for account, number, detail in notes:
+        request_id = f"{account}-{number}"
+        kept.note(request_id, "admitted", detail, client_account=account)
+        found = kept.find(journal.Query("", "", 0, 1000))
+        assert len(found) <= entries
+        assert kept.size <= size or len(found) == 1
+    for entry in kept.find(journal.Query("", "", 0, 1000)):
+        assert kept.show(entry.request_id) is entry
+
+
+def test_a_loud_account_makes_room_itself():
+    kept = journal.create_journal("back-1", 100)
+    kept.note("quiet", "admitted", client_account="otaru")
+    for number in range(1000):
+        kept.note(f"loud-{number}", "admitted", client_account="maruyama")
+    assert kept.show("quiet")
+
+
+def test_strangers_push_out_no_real_request():
+    kept = journal.create_journal("back-1", 5000)
+    for number in range(4000):
+        kept.note(f"real-{number}", "admitted", client_account="maruyama")
+    for number in range(3000):
+        kept.note(f"stranger-{number}", "sending-refused", "key-unknown")
+    assert all(kept.show(f"real-{number}") for number in range(4000))
+
+
+def test_a_later_doubt_does_not_undo_what_ran():
+    kept = journal.create_journal("back-1", 10)
+    kept.close("a", "answered", "ran", "")
+    kept.close("a", "answered-caller", "unknown", "too-late")
+    assert kept.show("a").outcome == "ran"
+
+
+def test_a_request_resent_without_end_stays_small():
+    kept = journal.create_journal("back-1", 10)
+    for _ in range(1000):
+        kept.note("a", "sending-refused", "limited")
+    assert len(kept.show("a").events) <= 32
+    assert kept.find(journal.Query("", "", math.inf, 10)) == []
