--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -15,10 +15,15 @@
 from savorybend.internal import choice
 from savorybend.internal import concurrency
 from savorybend.internal import configstore
+from savorybend.internal import dispatching
 from savorybend.internal import entry
 from savorybend.internal import forwarding
+from savorybend.internal import guard
 from savorybend.internal import handles
 from savorybend.internal import httpserver
+from savorybend.internal import inquiries
+from savorybend.internal import intake
+from savorybend.internal import issuing
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import local
@@ -27,8 +32,10 @@
 from savorybend.internal import membership
 from savorybend.internal import peers
 from savorybend.internal import platform
+from savorybend.internal import quarantine
 from savorybend.internal import receiving
-from savorybend.internal import requestids
+from savorybend.internal import records
+from savorybend.internal import requestpages
 from savorybend.internal import routing
 from savorybend.internal import serving
 from savorybend.internal import settings as settings_module
@@ -81,9 +88,16 @@
         self._gate = concurrency.create_gate(clock)
         self._server = backendserver.create_backend_server(self._gate)
         self._handles = handles.create_handles()
+        self._issuer = issuing.create_issuer(own.name, own.incarnation)
+        self._intake = self._create_intake()
+        self._records = records.create_records(own.name, clock)
         self._serving = self._create_serving(clock)
+        self._dispatcher = self._create_dispatcher(clock, own)
         self._receiver = receiving.create_receiver(
-            self._transport, clock, self._serving, self._directory
+            self._transport,
+            clock,
+            dispatching.create_doorway(self._dispatcher, self._serving),
+            self._directory,
         )
         self._entry = self._create_entry(clock, own)
         self._listeners = self._create_listeners()
@@ -145,6 +159,7 @@
 
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
+        in_flight += self._guard.in_flight + self._records.running
         return in_flight + self._gate.in_use > 0
 
     def _on_configuration(self, current: snapshot.Snapshot) -> None:
@@ -164,6 +179,10 @@
                 backend_server=self._server,
                 handles=self._handles,
                 journal=self._journal,
+                records=self._records,
+                quarantine=quarantine.create_quarantine(
+                    quarantine.Parts(self._transport, self._directory, clock)
+                ),
                 session=self._session,
             )
         )
@@ -182,28 +201,69 @@
             self._transport.subscribe(kind, limiter.receive)
         return limiter
 
-    def _create_entry(
+    def _create_intake(self) -> intake.Intake:
+        return intake.create_intake(
+            intake.Parts(
+                configuration=self._configuration,
+                limiter=self._limiter,
+                handles=self._handles,
+                issuer=self._issuer,
+                journal=self._journal,
+            )
+        )
+
+    def _create_dispatcher(
         self, clock: timers.Clock, own: members.Record
-    ) -> entry.Entry:
+    ) -> dispatching.Dispatcher:
+        forwarder = forwarding.create_forwarder(
+            self._transport, clock, self._directory
+        )
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
                 tracker=choice.create_tracker(random.Random()),
                 local=self._serving,
-                forwarder=forwarding.create_forwarder(
-                    self._transport, clock, self._directory
-                ),
+                forwarder=forwarder,
+            )
+        )
+        self._guard = guard.create_guard(
+            guard.Parts(
+                daemon=own.name,
+                issuer=self._issuer,
+                records=records.create_records(own.name, clock),
+                journal=self._journal,
+                admit=self._intake.spend,
+                target=router,
+            )
+        )
+        inquirer = inquiries.create_inquirer(
+            inquiries.Parts(self._transport, self._journal, self._records)
+        )
+        return dispatching.create_dispatcher(
+            dispatching.Parts(
+                clock=clock,
+                directory=self._directory,
+                issuer=self._issuer,
+                guard=self._guard,
+                router=router,
+                forwarder=forwarder,
+                inquirer=inquirer,
             )
         )
+
+    def _create_entry(
+        self, clock: timers.Clock, own: members.Record
+    ) -> entry.Entry:
         return entry.create_entry(
             entry.Parts(
                 daemon=own.name,
                 clock=clock,
                 configuration=self._configuration,
-                limiter=self._limiter,
-                target=router,
+                intake=self._intake,
+                target=self._dispatcher,
+                guard=self._guard,
                 handles=self._handles,
-                issuer=requestids.create_issuer(own.name, own.incarnation),
+                issuer=self._issuer,
                 journal=self._journal,
                 body_limit_bytes=self._settings.body_limit_bytes,
                 entries=self._entries,
@@ -216,7 +276,11 @@
                 key=self._settings.admin_key,
                 configuration=self._configuration,
                 directory=self._directory,
-                journal=self._journal,
+                requests=requestpages.create_pages(
+                    requestpages.Parts(
+                        self._journal, self._issuer, self._records
+                    )
+                ),
                 limiter=self._limiter,
                 status=self._status,
                 ready=lambda: self.state == "serving",
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -1,6 +1,7 @@
 """Gives calls to the backend server on this VM; it has the last word."""
 
 import asyncio
+import collections.abc
 import typing
 
 import aiohttp
@@ -10,11 +11,15 @@
 from savorybend.internal import calls
 from savorybend.internal import concurrency
 from savorybend.internal import errors
+from savorybend.internal import fingerprints
 from savorybend.internal import handles
 from savorybend.internal import headers
 from savorybend.internal import journal
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
+from savorybend.internal import quarantine
+from savorybend.internal import records
+from savorybend.internal import sendonce
 from savorybend.internal import timers
 
 # A backend server's own outcomes, where its answer states one.
@@ -33,6 +38,8 @@
     backend_server: backendserver.BackendServer
     handles: handles.Handles
     journal: journal.Journal
+    records: records.Records
+    quarantine: quarantine.Quarantine
     session: aiohttp.ClientSession
 
 
@@ -51,7 +58,17 @@
         self, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
         """Returns the call's answer; nothing ran unless it says so."""
-        refusal = self._check(call)
+        if call.idempotent:
+            return await self._run(call, body)
+        # The last word: whatever went wrong on the way here, a call that must
+        # not run twice is dispatched once.
+        fingerprint = fingerprints.of_request(call, body)
+        return await self._parts.records.run(
+            call, fingerprint, lambda: self._run(call, body)
+        )
+
+    async def _run(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
+        refusal = self._check(call, body)
         if refusal is not None:
             return self._not_run(call, refusal)
         ticket = await self._parts.gate.enter(call)
@@ -59,13 +76,22 @@
             return self._not_run(call, ticket)
         live = self._parts.handles.grant(call)
         flight = _Flight(self._parts, live, ticket)
+        # The wait at the gate, or a pause of this VM, may have used up the
+        # time; the clock counts suspension.
+        if call.deadline_s <= self._parts.clock.now_s():
+            flight.end(whole=False)
+            return self._not_run(call, outcomes.refuse(outcomes.TOO_LATE))
         try:
             return await self._dispatch(flight, body)
         except BaseException:
             flight.end(whole=False)
             raise
 
-    def _check(self, call: calls.Call) -> outcomes.Refuse | None:
+    def _check(
+        self, call: calls.Call, body: bodies.Body
+    ) -> outcomes.Refuse | None:
+        if self._parts.quarantine.blocks(call, body):
+            return outcomes.refuse(outcomes.QUARANTINED)
         if self._draining:
             return outcomes.refuse(outcomes.ELSEWHERE)
         if not self._parts.backend_server.ready:
@@ -92,7 +118,7 @@
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 response = await self._send(flight, body, left_s)
-                return await self._answer(flight, response)
+                return await self._answer(flight, body, response)
         except aiohttp.ClientConnectorError as error:
             # No connection, so the backend server saw nothing of it.
             self._parts.backend_server.trigger("lose")
@@ -106,6 +132,9 @@
             return self._unknown(flight, outcomes.TOO_LATE)
         except (aiohttp.ClientError, OSError, errors.AnswerLostError):
             flight.end(whole=False)
+            if flight.body_lost:
+                return self._unknown(flight, outcomes.BODY_LOST)
+            self._parts.quarantine.note_death(call, body)
             return self._unknown(flight, outcomes.BACKEND_SERVER_LOST)
 
     async def _send(
@@ -122,7 +151,7 @@
         ]
         data = body.whole
         if data is None:
-            data = _parts_of(body)
+            data = _parts_of(body, flight)
             if body.length is not None:
                 sent.append(("Content-Length", str(body.length)))
         return await self._parts.session.request(
@@ -131,19 +160,31 @@
             headers=sent,
             data=data or None,
             allow_redirects=False,
+            middlewares=(sendonce.send_once,),
         )
 
     async def _answer(
-        self, flight: "_Flight", response: aiohttp.ClientResponse
+        self,
+        flight: "_Flight",
+        asked: bodies.Body,
+        response: aiohttp.ClientResponse,
     ) -> calls.Answer:
         outcome, reason = _outcome(flight.live, response)
         length = response.content_length
         if length is not None and length <= bodies.INLINE_BYTES:
             body = bodies.WholeBody(await response.read())
             flight.end(whole=True)
+            self._parts.quarantine.note_answer(flight.call, asked)
         else:
             body = bodies.StreamedBody(
-                _reader(response), length, flight.end_of(response)
+                _reader(
+                    response,
+                    lambda: self._parts.quarantine.note_death(
+                        flight.call, asked
+                    ),
+                ),
+                length,
+                flight.end_of(response),
             )
         live = flight.live
         self._parts.journal.close(
@@ -158,7 +199,7 @@
             if outcome is outcomes.Outcome.NOT_RUN
             else 0.0,
             decided_by=self._parts.daemon,
-            retries_spent=flight.call.retries - live.retries_left,
+            retries_spent=live.retries_spent,
             effects=live.effects or not flight.call.idempotent,
             threshold=self._parts.gate.threshold,
             body=body,
@@ -196,9 +237,9 @@
             reason,
             call.request_id,
             self._parts.daemon,
-            retries_spent=call.retries - flight.live.retries_left,
+            retries_spent=flight.live.retries_spent,
             threshold=self._parts.gate.threshold,
-        )
+        )._replace(effects=flight.live.effects or not call.idempotent)
 
 
 class _Flight:
@@ -214,6 +255,7 @@
         self._ticket = ticket
         self._over = False
         self.live = live
+        self.body_lost = False
 
     @property
     def call(self) -> calls.Call:
@@ -247,6 +289,10 @@
 ) -> tuple[outcomes.Outcome, str]:
     stated = _STATED.get(response.headers.get(headers.OUTCOME, ""))
     if stated is None:
+        # An error that comes from below is no reason for the daemon above to
+        # retry: the daemon next to the failure has done so, if anyone may.
+        if response.status >= 500 and live.failed_below:
+            return outcomes.Outcome.PARTIAL, ""
         return outcomes.Outcome.RAN, ""
     if stated is outcomes.Outcome.NOT_RUN:
         # A backend server that made child calls can't have run nothing.
@@ -256,16 +302,24 @@
     return stated, ""
 
 
-async def _parts_of(body: bodies.Body):
-    while data := await body.read():
-        yield data
+async def _parts_of(body: bodies.Body, flight: _Flight):
+    try:
+        while data := await body.read():
+            yield data
+    except (OSError, aiohttp.ClientError, errors.AnswerLostError):
+        flight.body_lost = True
+        raise
 
 
-def _reader(response: aiohttp.ClientResponse):
+def _reader(
+    response: aiohttp.ClientResponse,
+    on_broken: collections.abc.Callable[[], None],
+):
     async def read() -> bytes:
         try:
             return await response.content.readany()
         except (aiohttp.ClientError, OSError) as error:
+            on_broken()
             raise errors.AnswerLostError(
                 f"the backend server's answer broke off ({error}): ask about "
                 "the request by its ID"
