Follow the fleet from peer to peer, without a platform object for each change

Cause: every daemon watched every announcement on the platform, and a daemon that died was never noticed. Calls grew with the square of the fleet's news. A daemon writes its object at start and removes it at the end; it joins through a page on the admin listener, proved by the fleet secret over a nonce. A platform call takes a token first.

--- a/src/savorybend/internal/admin.py
+++ b/src/savorybend/internal/admin.py
@@ -10,6 +10,7 @@
 from savorybend.internal import configstore
 from savorybend.internal import headers
 from savorybend.internal import httpserver
+from savorybend.internal import joining
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import members
@@ -42,6 +43,7 @@
     limiter: limits.Limiter
     status: collections.abc.Callable[[], Status]
     ready: collections.abc.Callable[[], bool]
+    join: httpserver.Handler
 
 
 class Pages:
@@ -61,6 +63,8 @@
                 ready = self._parts.ready()
                 status = 200 if ready else 503
                 return httpserver.json_answer({"ready": ready}, status)
+            case joining.PATH:
+                return await self._parts.join(request)
         if not request.path.startswith(_PREFIX):
             return httpserver.json_answer({"error": "no such page"}, 404)
         if not self._allowed(request):
--- /dev/null
+++ b/src/savorybend/internal/announcing.py
@@ -0,0 +1,97 @@
+"""This daemon's object on the platform: written at start, removed at the end.
+
+Nothing is written in between, so the platform's calls don't grow with the
+life of a daemon; whether it lives is settled among the daemons.
+"""
+
+import asyncio
+import random
+
+import msgspec
+
+from savorybend.internal import budget
+from savorybend.internal import errors
+from savorybend.internal import logs
+from savorybend.internal import members
+from savorybend.internal import platform
+
+_log = logs.get()
+
+
+class Announcer:
+    """Keeps one daemon's object."""
+
+    def __init__(
+        self,
+        directory: members.Directory,
+        store: platform.Platform,
+        rng: random.Random,
+    ):
+        self._directory = directory
+        self._store = store
+        self._backoff = budget.create_backoff(rng)
+
+    async def announce(self) -> list[members.Record]:
+        """Writes the object, however long it takes; returns the others.
+
+        The write goes before the reading, so that of two daemons that start
+        at the same moment at least one learns of the other.
+        """
+        while True:
+            try:
+                await self._write()
+                return await self._list()
+            except (
+                errors.PlatformUnavailableError,
+                errors.ConflictError,
+            ) as error:
+                _log.warning("announcement_not_written", error=str(error))
+                await asyncio.sleep(self._backoff.fail())
+
+    async def withdraw(self) -> None:
+        """Removes the object, unless a later start has taken it over."""
+        own = self._directory.own
+        try:
+            found = await self._store.get(platform.DAEMON_KIND, own.name)
+            record = _decode(found) if found else None
+            if record is not None and record.incarnation == own.incarnation:
+                await self._store.delete(platform.DAEMON_KIND, own.name)
+        except errors.PlatformUnavailableError as error:
+            _log.warning("announcement_left_behind", error=str(error))
+
+    async def _write(self) -> None:
+        own = self._directory.own
+        kind = platform.DAEMON_KIND
+        found = await self._store.get(kind, own.name)
+        known = _decode(found) if found else None
+        if known is not None and known.incarnation >= own.incarnation:
+            # A lost reply, or a later start of this name.
+            return
+        version = found.version if found else platform.ABSENT
+        value = msgspec.json.encode(own).decode()
+        await self._store.put(kind, own.name, value, version)
+
+    async def _list(self) -> list[members.Record]:
+        listing = await self._store.list(platform.DAEMON_KIND)
+        own = self._directory.own.name
+        found = (_decode(item) for item in listing.objects)
+        return [r for r in found if r is not None and r.name != own]
+
+
+def _decode(found: platform.Object) -> members.Record | None:
+    try:
+        return msgspec.json.decode(found.value, type=members.Record)
+    except msgspec.MsgspecError as error:
+        _log.warning(
+            "announcement_unreadable", object=found.name, error=str(error)
+        )
+        return None
+
+
+def create_announcer(
+    directory: members.Directory,
+    store: platform.Platform,
+    rng: random.Random,
+) -> Announcer:
+    """Returns the announcer of the daemon that owns `directory`."""
+    return Announcer(directory, store, rng)
--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -5,20 +5,25 @@
 import random
 import signal
 import time
-import typing
 
 import aiohttp
 
 from savorybend.internal import admin
+from savorybend.internal import announcing
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
 from savorybend.internal import concurrency
+from savorybend.internal import configspread
 from savorybend.internal import configstore
+from savorybend.internal import configwatch
+from savorybend.internal import contact
+from savorybend.internal import drain
 from savorybend.internal import entry
 from savorybend.internal import forwarding
 from savorybend.internal import handles
 from savorybend.internal import httpserver
+from savorybend.internal import joining
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import local
@@ -38,6 +43,8 @@
 # How long a drain is given to reach the peers before the listeners close;
 # until then they are told to go elsewhere.
 _SPREAD_S = 1.0
+# Lets the last messages out before the connections close.
+_LAST_WORD_S = 0.2
 
 _log = logs.get()
 
@@ -52,9 +59,11 @@
         self,
         settings: settings_module.Settings,
         session: aiohttp.ClientSession,
+        platform_session: aiohttp.ClientSession,
     ):
         self._settings = settings
         self._session = session
+        self._rng = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
@@ -63,27 +72,41 @@
         self._directory = members.create_directory(own)
         self._transport = peers.create_transport(self._directory, keys)
         self._platform = platform.create_platform(
-            settings.platform_url, session
+            settings.platform_url, platform_session
         )
         self._configuration = configstore.create_store(clock)
-        self._watcher = configstore.create_watcher(
-            self._configuration, self._platform
+        self._watcher = configwatch.create_watcher(
+            configwatch.Parts(
+                self._configuration,
+                self._platform,
+                self._directory,
+                clock,
+                self._rng,
+            )
         )
-        self._membership = membership.create_membership(
-            self._directory, self._platform
+        self._membership = self._create_membership()
+        self._announcer = announcing.create_announcer(
+            self._directory, self._platform, self._rng
         )
+        self._contact = self._create_contact()
         self._journal = journal.create_journal(
             settings.name, settings.journal_entries
         )
         self._limiter = limits.create_limiter(clock, self._directory)
         self._gate = concurrency.create_gate(clock)
         self._server = backendserver.create_backend_server(self._gate)
+        self._server.subscribe(self._on_backend_server)
         self._handles = handles.create_handles()
         self._serving = self._create_serving(clock)
         self._receiver = receiving.create_receiver(
             self._transport, clock, self._serving, self._directory
         )
         self._entry = self._create_entry(clock, own)
+        self._door = drain.create_door(
+            settings.name,
+            self._entry.handle,
+            draining=lambda: self.state == "draining",
+        )
         self._listeners = self._create_listeners()
         charts.create_machine("daemon", self, after_change="log_state")
 
@@ -112,19 +135,22 @@
         )
         for listener, address in zip(self._listeners, addresses, strict=True):
             await listener.start(address.host, address.port)
-        self._spawn(self._membership.run())
+        self._membership.start()
+        self._spawn(self._contact.run())
         self._spawn(self._watcher.run())
         _log.info("listening", call_address=str(settings.call_address))
 
     async def _stop(self) -> None:
         self.trigger("drain")
         self._serving.drain()
-        own = self._directory.own
-        leaving = _changed(own, state=members.DRAINING)
-        await self._membership.announce_change(leaving)
+        self._membership.set_state(members.DRAINING)
         await asyncio.sleep(_SPREAD_S)
+        self._door.close()
         await self._finish_calls()
-        await self._membership.leave()
+        self._membership.leave()
+        await self._announcer.withdraw()
+        await asyncio.sleep(_LAST_WORD_S)
+        self._membership.stop()
         for listener in self._listeners:
             await listener.stop()
         for task in self._tasks:
@@ -147,9 +173,47 @@
         if self.state == "starting":
             self.trigger("configured")
 
+    def _on_backend_server(self, state: str) -> None:
+        # While the daemon itself leaves, nothing brings it back.
+        if self.state != "draining":
+            drained = state == "draining"
+            self._membership.set_state(
+                members.DRAINING if drained else members.SERVING
+            )
+
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
+    def _create_membership(self) -> membership.Membership:
+        spread = configspread.create_spread(
+            self._configuration, self._transport, self._timers
+        )
+        created = membership.create_membership(
+            membership.Parts(
+                self._directory,
+                self._transport,
+                self._timers,
+                self._rng,
+                spread,
+            )
+        )
+        self._configuration.subscribe(lambda _: created.tell_neighbours())
+        return created
+
+    def _create_contact(self) -> contact.Contact:
+        return contact.create_contact(
+            contact.Parts(
+                self._membership,
+                self._directory,
+                self._announcer,
+                joining.create_visitor(
+                    self._settings.fleet_secret, self._session
+                ),
+                self._settings.seeds,
+                self._rng,
+            )
+        )
+
     def _create_serving(self, clock: timers.Clock) -> serving.Serving:
         return serving.create_serving(
             serving.Parts(
@@ -201,13 +265,18 @@
                 limiter=self._limiter,
                 status=self._status,
                 ready=lambda: self.state == "serving",
+                join=joining.create_door(
+                    self._settings.fleet_secret,
+                    self._timers.clock,
+                    self._contact.answer,
+                ).handle,
             )
         )
         door = local.create_door(self._server, self._entry)
         limit = self._settings.header_limit_bytes
         return tuple(
             httpserver.create_listener(handler, limit)
-            for handler in (self._entry.handle, door.handle, pages.handle)
+            for handler in (self._door.handle, door.handle, pages.handle)
         )
 
     def _entries(self) -> dict[str, dict[str, list[str]]]:
@@ -243,27 +312,36 @@
         incarnation=time.time_ns() // 1_000_000,
         data_centre=settings.data_centre,
         service=settings.service,
-        call_address=str(settings.call_address),
-        peer_address=str(settings.peer_address),
-        admin_address=str(settings.admin_address),
+        call_address=str(
+            settings.announced_call_address or settings.call_address
+        ),
+        peer_address=str(
+            settings.announced_peer_address or settings.peer_address
+        ),
+        admin_address=str(
+            settings.announced_admin_address or settings.admin_address
+        ),
         public_key=public_key,
     )
 
 
-def _changed(record: members.Record, **fields: typing.Any) -> members.Record:
-    values = {name: getattr(record, name) for name in record.__struct_fields__}
-    return members.Record(
-        **{**values, "revision": record.revision + 1, **fields}
-    )
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Runs a daemon until a signal asks for a graceful shutdown."""
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(
+    async with (
+        _create_session(aiohttp.TCPConnector(limit=0)) as session,
+        # The platform is asked rarely, and an idle connection may have gone
+        # silent since; a new one for each call works if the platform does.
+        _create_session(
+            aiohttp.TCPConnector(limit=0, force_close=True)
+        ) as platform_session,
+    ):
+        await Daemon(settings, session, platform_session).run()
+
+
+def _create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None),
-    ) as session:
-        await Daemon(settings, session).run()
+    )
--- a/src/savorybend/internal/backendserver.py
+++ b/src/savorybend/internal/backendserver.py
@@ -1,5 +1,6 @@
 """The backend server on this VM, as it announces itself."""
 
+import collections.abc
 import typing
 
 from savorybend.internal import charts
@@ -40,6 +41,7 @@
     def __init__(self, gate: concurrency.Gate):
         self._gate = gate
         self._address = ""
+        self._listeners: list[collections.abc.Callable[[str], None]] = []
         charts.create_machine("backend", self, after_change="log_state")
 
     @property
@@ -52,6 +54,12 @@
         """Whether it takes new work."""
         return self.state == "ready"
 
+    def subscribe(
+        self, listener: collections.abc.Callable[[str], None]
+    ) -> None:
+        """Calls `listener` with the state after each change."""
+        self._listeners.append(listener)
+
     def take_announcement(self, announcement: Announcement) -> None:
         """Notes that the backend server is there."""
         self._address = announcement["address"]
@@ -66,6 +74,8 @@
     def log_state(self) -> None:
         """Logs the state after a change."""
         _log.info("backend_server", state=self.state, address=self._address)
+        for listener in self._listeners:
+            listener(self.state)
 
 
 def create_backend_server(gate: concurrency.Gate) -> BackendServer:
--- /dev/null
+++ b/src/savorybend/internal/configspread.py
@@ -0,0 +1,178 @@
+"""Passes the configuration from daemon to daemon."""
+
+import hashlib
+import typing
+import zlib
+
+from savorybend.internal import configstore
+from savorybend.internal import errors
+from savorybend.internal import logs
+from savorybend.internal import membership
+from savorybend.internal import snapshot
+from savorybend.internal import timers
+from savorybend.internal.wire import configuration as wire
+from savorybend.internal.wire import membership as membership_wire
+
+# Far below a message's limit, so that calls between two parts go on.
+PART_BYTES = 65_536
+# What the platform holds, and so the largest document there is.
+_MOST_BYTES = 1_048_576
+_PART_TIMEOUT_S = 0.4
+
+_log = logs.get()
+
+
+class _Fetch:
+    """A configuration on its way from peers."""
+
+    def __init__(self, version: int, peer: str):
+        self.version = version
+        self.holders = [peer]
+        self.data = bytearray()
+        self.timer: timers.Subscription | None = None
+
+
+class Spread:
+    """Serves the configuration in force and fetches newer ones."""
+
+    def __init__(
+        self,
+        store: configstore.Store,
+        transport: membership.Transport,
+        service: timers.TimerService,
+    ):
+        self._store = store
+        self._transport = transport
+        self._timers = service
+        self._fetch: _Fetch | None = None
+        self._refused = 0
+        self._packed = b""
+        store.subscribe(self._on_taken)
+        transport.subscribe(wire.PartRequest, self._on_request)
+        transport.subscribe(wire.Part, self._on_part)
+
+    def standing(self) -> membership_wire.Standing:
+        """Returns which configuration this daemon has."""
+        return membership_wire.Standing(self._store.version, self._store.age_s)
+
+    def on_standing(
+        self, peer: str, standing: membership_wire.Standing
+    ) -> None:
+        """Fetches the configuration of a peer if its version is higher."""
+        if standing.version <= max(self._store.version, self._refused):
+            return
+        fetch = self._fetch
+        if fetch is not None and fetch.version >= standing.version:
+            if fetch.version == standing.version:
+                fetch.holders.append(peer)
+            return
+        self._end_fetch()
+        self._fetch = _Fetch(standing.version, peer)
+        self._ask(self._fetch)
+
+    def on_fresh_standing(
+        self, standing: membership_wire.Standing, asked_s: float
+    ) -> None:
+        """Learns from a peer's reply how old the configuration is.
+
+        Args:
+            standing: What the peer had, at some moment after `asked_s`.
+            asked_s: When the peer was asked, on this daemon's clock.
+        """
+        if standing.version == self._store.version and standing.age_s >= 0:
+            self._store.confirm(asked_s - standing.age_s)
+
+    def _on_taken(self, taken: snapshot.Snapshot) -> None:
+        self._packed = zlib.compress(taken.text)
+        if self._fetch is not None and self._fetch.version <= taken.version:
+            self._end_fetch()
+
+    def _on_request(self, peer: str, message: wire.PartRequest) -> None:
+        held = self._store.in_force
+        if not held or held.version != message.version or message.offset < 0:
+            return
+        data = self._packed[message.offset : message.offset + PART_BYTES]
+        part = wire.Part(
+            held.version,
+            message.offset,
+            len(self._packed),
+            held.digest,
+            data,
+        )
+        self._try_send(peer, part)
+
+    def _on_part(self, peer: str, message: wire.Part) -> None:
+        fetch = self._fetch
+        if fetch is None or message.version != fetch.version:
+            return
+        if message.offset != len(fetch.data) or peer not in fetch.holders:
+            return
+        fetch.data += message.data
+        if len(fetch.data) >= message.size or not message.data:
+            self._finish(fetch, message.digest)
+        else:
+            self._ask(fetch)
+
+    def _finish(self, fetch: _Fetch, digest: str) -> None:
+        text = _unpack(bytes(fetch.data))
+        if text is None or hashlib.sha256(text).hexdigest() != digest:
+            _log.warning("configuration_garbled", peer=fetch.holders[0])
+            self._try_next(fetch)
+            return
+        self._end_fetch()
+        if not self._store.offer(fetch.version, text):
+            # It breaks a rule here, whoever sends it.
+            self._refused = max(self._refused, fetch.version)
+
+    def _ask(self, fetch: _Fetch) -> None:
+        if fetch.timer is not None:
+            fetch.timer.cancel()
+        fetch.timer = self._timers.after(
+            _PART_TIMEOUT_S, lambda: self._on_silence(fetch)
+        )
+        request = wire.PartRequest(fetch.version, len(fetch.data))
+        self._try_send(fetch.holders[0], request)
+
+    def _on_silence(self, fetch: _Fetch) -> None:
+        if self._fetch is fetch:
+            self._try_next(fetch)
+
+    def _try_next(self, fetch: _Fetch) -> None:
+        fetch.holders.pop(0)
+        # Parts of two daemons may be packed differently, so begin anew.
+        fetch.data.clear()
+        if fetch.holders:
+            self._ask(fetch)
+        else:
+            self._end_fetch()
+
+    def _end_fetch(self) -> None:
+        if self._fetch is not None and self._fetch.timer is not None:
+            self._fetch.timer.cancel()
+        self._fetch = None
+
+    def _try_send(self, peer: str, message: typing.Any) -> None:
+        try:
+            self._transport.send(peer, message)
+        except errors.PeerUnreachableError:
+            # The timeout turns to another holder.
+            return
+
+
+def _unpack(data: bytes) -> bytes | None:
+    unpacker = zlib.decompressobj()
+    try:
+        # Bounded, so that a small message can't fill the memory.
+        text = unpacker.decompress(data, _MOST_BYTES)
+    except zlib.error:
+        return None
+    return text if unpacker.eof else None
+
+
+def create_spread(
+    store: configstore.Store,
+    transport: membership.Transport,
+    service: timers.TimerService,
+) -> Spread:
+    """Returns what passes the configuration of `store` on."""
+    return Spread(store, transport, service)
--- a/src/savorybend/internal/configstore.py
+++ b/src/savorybend/internal/configstore.py
@@ -1,12 +1,11 @@
 """The configuration in force, whose version only rises."""
 
-import asyncio
 import collections.abc
+import math
 
 from savorybend.internal import errors
 from savorybend.internal import logs
 from savorybend.internal import metrics
-from savorybend.internal import platform
 from savorybend.internal import sentinels
 from savorybend.internal import snapshot
 from savorybend.internal import timers
@@ -15,9 +14,6 @@
     "NOT_CONFIGURED", "no configuration has reached this daemon yet"
 )
 
-_WATCH_S = 30.0
-_RETRY_S = 0.5
-
 Listener = collections.abc.Callable[[snapshot.Snapshot], None]
 
 _log = logs.get()
@@ -29,7 +25,7 @@
     def __init__(self, clock: timers.Clock):
         self._clock = clock
         self._in_force: snapshot.Snapshot | sentinels.Absence = NOT_CONFIGURED
-        self._confirmed_s = clock.now_s()
+        self._confirmed_s = -math.inf
         self._listeners: list[Listener] = []
 
     @property
@@ -44,16 +40,27 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the configuration was last confirmed as newest."""
+        """Seconds since the version in force was last known to be the newest.
+
+        It is never too low: where it is 10, no configuration that the
+        platform accepted more than 10 seconds ago is missing here. It is
+        infinite where nobody in touch with the platform was ever heard.
+        """
         return self._clock.now_s() - self._confirmed_s
 
     def subscribe(self, listener: Listener) -> None:
         """Calls `listener` with each configuration that comes into force."""
         self._listeners.append(listener)
 
-    def confirm(self) -> None:
-        """Notes that the version in force is the newest now."""
-        self._confirmed_s = self._clock.now_s()
+    def confirm(self, as_of_s: float) -> None:
+        """Notes that the version in force was the newest at a moment.
+
+        Args:
+            as_of_s: The moment, in seconds on this daemon's clock. A reply
+                confirms the moment at which its question was sent, since the
+                reply may have been held up on its way.
+        """
+        self._confirmed_s = max(self._confirmed_s, as_of_s)
 
     def offer(self, version: int, text: bytes) -> bool:
         """Puts a configuration in force if its version is higher.
@@ -81,44 +88,6 @@
         return True
 
 
-class Watcher:
-    """Follows the configuration on the platform."""
-
-    def __init__(self, store: Store, source: platform.Platform):
-        self._store = store
-        self._source = source
-
-    async def run(self) -> None:
-        """Offers each new version to the store, until cancelled."""
-        while True:
-            try:
-                await self._follow()
-            except errors.ConflictError:
-                continue
-            except errors.PlatformUnavailableError as error:
-                _log.warning("platform_unavailable", error=str(error))
-                await asyncio.sleep(_RETRY_S)
-
-    async def _follow(self) -> None:
-        listing = await self._source.list(platform.CONFIGURATION_KIND)
-        while True:
-            self._take(listing)
-            listing = await self._source.watch(
-                platform.CONFIGURATION_KIND, listing.version, _WATCH_S
-            )
-
-    def _take(self, listing: platform.Listing) -> None:
-        for found in listing.objects:
-            if found.name == platform.CONFIGURATION_NAME:
-                self._store.offer(found.version, found.value.encode())
-        self._store.confirm()
-
-
 def create_store(clock: timers.Clock) -> Store:
     """Returns a store with no configuration yet."""
     return Store(clock)
-
-
-def create_watcher(store: Store, source: platform.Platform) -> Watcher:
-    """Returns a watcher that feeds `store` from the platform."""
-    return Watcher(store, source)
--- /dev/null
+++ b/src/savorybend/internal/neighbours.py
@@ -0,0 +1,92 @@
+"""Which daemons this one keeps in touch with.
+
+Fixed neighbours in place of random ones: at 1,000 members a random choice
+opens a new encrypted connection with almost every probe, at 0.5 ms of
+processor and 30 KB each end, while these stay the same until one of them goes.
+"""
+
+import bisect
+import hashlib
+import heapq
+
+from savorybend.internal import members
+
+# Each daemon is probed by the two before it on the ring, so that the loss of
+# one of them leaves nobody unwatched.
+_SUCCESSORS = 2
+# Ties across the ring that let news reach everyone in a few rounds.
+_TIES = 4
+# Ties to each other data centre; all its daemons have one, so that the cut of
+# a few connections doesn't part two data centres.
+_TIES_ACROSS = 1
+
+
+class Neighbours:
+    """The neighbours of one daemon, worked out when the fleet changes."""
+
+    def __init__(self, directory: members.Directory):
+        self._directory = directory
+        self._scores: dict[str, int] = {}
+        self._chosen: tuple[members.Record, ...] = ()
+        self._stale = True
+        directory.subscribe(self._on_change)
+
+    def all(self) -> tuple[members.Record, ...]:
+        """Returns the neighbours."""
+        if self._stale:
+            self._choose()
+        return self._chosen
+
+    def _on_change(self, change: members.Change) -> None:
+        self._stale = True
+
+    def _choose(self) -> None:
+        own = self._directory.own
+        centres: dict[str, list[members.Record]] = {}
+        for record in self._directory.all():
+            if record.name != own.name:
+                centres.setdefault(record.data_centre, []).append(record)
+        near = centres.pop(own.data_centre, [])
+        chosen = {r.name: r for r in self._successors(near)}
+        chosen.update((r.name, r) for r in self._nearest(near, _TIES))
+        for records in centres.values():
+            found = self._nearest(records, _TIES_ACROSS)
+            chosen.update((r.name, r) for r in found)
+        self._chosen = tuple(chosen.values())
+        self._stale = False
+
+    def _successors(self, near: list[members.Record]) -> list[members.Record]:
+        ring = sorted((score("", record.name), record.name) for record in near)
+        by_name = {record.name: record for record in near}
+        own = self._directory.own.name
+        start = bisect.bisect(ring, (score("", own), own))
+        count = min(_SUCCESSORS, len(ring))
+        names = (ring[(start + i) % len(ring)][1] for i in range(count))
+        return [by_name[name] for name in names]
+
+    def _nearest(
+        self, records: list[members.Record], count: int
+    ) -> list[members.Record]:
+        return heapq.nsmallest(
+            count, records, key=lambda record: self._score(record.name)
+        )
+
+    def _score(self, name: str) -> int:
+        found = self._scores.get(name)
+        if found is None:
+            # The same from both ends, so that two daemons more often choose
+            # each other and share one connection.
+            pair = sorted((self._directory.own.name, name))
+            found = self._scores[name] = score(*pair)
+        return found
+
+
+def score(first: str, second: str) -> int:
+    """Returns a number that depends on the two names only."""
+    data = f"{first} {second}".encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
+
+
+def create_neighbours(directory: members.Directory) -> Neighbours:
+    """Returns the neighbours of the daemon that owns `directory`."""
+    return Neighbours(directory)
--- a/src/savorybend/internal/platform.py
+++ b/src/savorybend/internal/platform.py
@@ -1,14 +1,17 @@
 """The platform's object API: versions, conditional updates and watches."""
 
+import asyncio
 import collections.abc
 import typing
 
 import aiohttp
 import msgspec
 
+from savorybend.internal import budget
 from savorybend.internal import errors
 from savorybend.internal import metrics
 from savorybend.internal import sentinels
+from savorybend.internal import timers
 
 NO_OBJECT = sentinels.create("NO_OBJECT", "the platform has no such object")
 
@@ -64,7 +67,9 @@
         url: str,
         session: aiohttp.ClientSession,
         count: collections.abc.Callable[[str], None],
+        allowance: budget.Budget,
     ):
+        self._allowance = allowance
         self._url = url
         self._session = session
         self._count = count
@@ -125,13 +130,21 @@
         _expect(status, "list", 200)
         return _decode(body, Listing)
 
-    async def watch(self, kind: str, after: int, wait_s: float) -> Listing:
+    async def watch(
+        self,
+        kind: str,
+        after: int,
+        wait_s: float,
+        timeout_s: float | None = None,
+    ) -> Listing:
         """Returns what changed after a version, waiting if nothing has.
 
         Args:
             kind: The kind to watch.
             after: The version of the listing last seen.
             wait_s: How long the platform holds the call, in seconds.
+            timeout_s: When to give the call up, in seconds; None for a
+                little after `wait_s`.
 
         Raises:
             errors.ConflictError: The platform no longer knows what changed
@@ -142,7 +155,7 @@
             "watch",
             "GET",
             f"{kind}?after={after}&wait_s={wait_s}",
-            timeout_s=wait_s + _WATCH_SLACK_S,
+            timeout_s=timeout_s or wait_s + _WATCH_SLACK_S,
         )
         if status == 410:
             raise errors.ConflictError(f"{kind}: version {after} is too old")
@@ -158,6 +171,9 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = _TIMEOUT_S,
     ) -> tuple[int, bytes]:
+        delay_s = self._allowance.take()
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
         self._count(operation)
         try:
             async with self._session.request(
@@ -201,4 +217,5 @@
 
 def create_platform(url: str, session: aiohttp.ClientSession) -> Platform:
     """Returns a client whose calls are counted in the metrics."""
-    return Platform(url, session, metrics.count_platform_call)
+    allowance = budget.create_budget(timers.SystemClock())
+    return Platform(url, session, metrics.count_platform_call, allowance)
--- /dev/null
+++ b/src/savorybend/internal/probing.py
@@ -0,0 +1,182 @@
+"""Finds daemons that died, by probes straight and through others."""
+
+import collections.abc
+import itertools
+import random
+import typing
+
+from savorybend.internal import errors
+from savorybend.internal import neighbours
+from savorybend.internal import roster as rosters
+from savorybend.internal import timers
+from savorybend.internal.wire import membership as wire
+
+PROBE_INTERVAL_S = 1.0
+# Far above a round trip between regions, and above a pause of the loop.
+REPLY_TIMEOUT_S = 0.5
+# Three others rule out that the way to the target alone is broken.
+_HELPERS = 3
+# Time for the accused to hear of it and for its word to come back.
+SUSPICION_S = 3.0
+# After a pause this long, silence of the others proves nothing.
+_PAUSE_S = 2.5
+
+Send = collections.abc.Callable[[str, typing.Any], None]
+
+
+class Parts(typing.NamedTuple):
+    """What probing is made of.
+
+    Attributes:
+        roster: What is known of each daemon.
+        neighbours: Whom to probe.
+        timers: Calls back when a reply is overdue.
+        rng: Chooses helpers.
+        send: Sends a message; may raise `PeerUnreachableError`.
+        create_probe: Returns the probe of a daemon with a sequence.
+    """
+
+    roster: rosters.Roster
+    neighbours: neighbours.Neighbours
+    timers: timers.TimerService
+    rng: random.Random
+    send: Send
+    create_probe: collections.abc.Callable[[str, int], wire.Probe]
+
+
+class _Pending(typing.NamedTuple):
+    """A probe without a reply.
+
+    Attributes:
+        target: The daemon probed.
+        sent_s: When it was sent.
+        helped: The daemon that asked for the probe, or empty.
+        helped_sequence: That daemon's own sequence.
+    """
+
+    target: str
+    sent_s: float
+    helped: str = ""
+    helped_sequence: int = 0
+
+
+class Prober:
+    """Probes one neighbour at a time and settles suspicions."""
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._sequences = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._suspected_s: dict[str, float] = {}
+        self._turn = 0
+        self._last_s = parts.timers.clock.now_s()
+        parts.roster.subscribe(self._on_update)
+
+    def probe_next(self) -> None:
+        """Probes the neighbour whose turn it is; called each interval."""
+        now_s = self._parts.timers.clock.now_s()
+        if now_s - self._last_s > _PAUSE_S:
+            self._excuse(now_s)
+        self._last_s = now_s
+        self._settle(now_s)
+        chosen = self._parts.neighbours.all()
+        if chosen:
+            self._turn = (self._turn + 1) % len(chosen)
+            self._probe(_Pending(chosen[self._turn].name, now_s))
+
+    def take_reply(self, peer: str, sequence: int) -> float | None:
+        """Notes a reply.
+
+        Returns:
+            When the probe was sent, or None if none was waiting for this.
+        """
+        pending = self._pending.get(sequence)
+        if pending is None or pending.target != peer:
+            return None
+        del self._pending[sequence]
+        if pending.helped:
+            reply = wire.ProbeForReply(pending.helped_sequence)
+            self._try_send(pending.helped, reply)
+        return pending.sent_s
+
+    def take_help(self, sequence: int) -> None:
+        """Notes that a target answered another daemon."""
+        self._pending.pop(sequence, None)
+
+    def help(self, peer: str, message: wire.ProbeFor) -> None:
+        """Probes a daemon for a peer that can't reach it."""
+        now_s = self._parts.timers.clock.now_s()
+        self._probe(_Pending(message.target, now_s, peer, message.sequence))
+
+    def _probe(self, pending: _Pending) -> None:
+        sequence = next(self._sequences)
+        self._pending[sequence] = pending
+        probe = self._parts.create_probe(pending.target, sequence)
+        self._try_send(pending.target, probe)
+        self._parts.timers.after(
+            REPLY_TIMEOUT_S, lambda: self._on_silence(sequence)
+        )
+
+    def _on_silence(self, sequence: int) -> None:
+        pending = self._pending.get(sequence)
+        if pending is None:
+            return
+        if pending.helped:
+            del self._pending[sequence]
+            return
+        for helper in self._helpers(pending.target):
+            self._try_send(helper, wire.ProbeFor(sequence, pending.target))
+        # A helper's own probe may take its whole timeout.
+        self._parts.timers.after(
+            2 * REPLY_TIMEOUT_S, lambda: self._on_no_help(sequence)
+        )
+
+    def _on_no_help(self, sequence: int) -> None:
+        pending = self._pending.pop(sequence, None)
+        if pending is None:
+            return
+        entry = self._parts.roster.get(pending.target)
+        if entry is not None and entry.state == rosters.ALIVE:
+            self._parts.roster.take(wire.Update(entry.record, rosters.SUSPECT))
+
+    def _helpers(self, target: str) -> list[str]:
+        names = [
+            record.name
+            for record in self._parts.neighbours.all()
+            if record.name != target
+        ]
+        return self._parts.rng.sample(names, min(_HELPERS, len(names)))
+
+    def _on_update(self, update: wire.Update) -> None:
+        name = update.record.name
+        if update.state == rosters.SUSPECT:
+            now_s = self._parts.timers.clock.now_s()
+            self._suspected_s.setdefault(name, now_s)
+        else:
+            self._suspected_s.pop(name, None)
+
+    def _settle(self, now_s: float) -> None:
+        for name, since_s in list(self._suspected_s.items()):
+            entry = self._parts.roster.get(name)
+            if entry is None or now_s - since_s < SUSPICION_S:
+                continue
+            update = wire.Update(entry.record, rosters.DEAD)
+            self._parts.roster.take(update)
+
+    def _excuse(self, now_s: float) -> None:
+        # This daemon was paused: replies went unread and refutations unheard.
+        self._pending.clear()
+        for name in self._suspected_s:
+            self._suspected_s[name] = now_s
+
+    def _try_send(self, peer: str, message: typing.Any) -> None:
+        try:
+            self._parts.send(peer, message)
+        except errors.PeerUnreachableError:
+            # The missing reply tells as much.
+            return
+
+
+def create_prober(parts: Parts) -> Prober:
+    """Returns a prober that has no probe under way."""
+    return Prober(parts)
--- /dev/null
+++ b/src/savorybend/internal/repair.py
@@ -0,0 +1,100 @@
+"""Makes two daemons agree on the fleet where rumours got lost."""
+
+import collections.abc
+import typing
+
+from savorybend.internal import roster as rosters
+from savorybend.internal import signatures
+from savorybend.internal.wire import membership as wire
+
+# Bounds what one message carries; the rest follows with the next repair.
+_MOST_UPDATES = 256
+
+Send = collections.abc.Callable[[str, typing.Any], None]
+Wrap = collections.abc.Callable[[list[wire.Update]], typing.Any]
+
+
+class Repair:
+    """Compares signatures with a peer and exchanges what differs."""
+
+    def __init__(self, roster: rosters.Roster, send: Send, wrap: Wrap):
+        self._roster = roster
+        self._send = send
+        self._wrap = wrap
+
+    def start(self, peer: str) -> None:
+        """Shows a peer the signature of all that this daemon knows.
+
+        Raises:
+            errors.PeerUnreachableError: The peer can't be reached.
+        """
+        self._show(peer, signatures.ROOT)
+
+    def on_signatures(self, peer: str, message: wire.Signatures) -> None:
+        """Goes down where the peer's signatures differ.
+
+        Raises:
+            errors.PeerUnreachableError: The peer can't be reached.
+        """
+        if not signatures.is_label(message.node):
+            return
+        tree = self._roster.tree
+        for node in tree.differing(message.node, message.children):
+            if signatures.is_leaf(node):
+                self._send(peer, self._leaf(node, answer=True))
+            else:
+                self._show(peer, node)
+
+    def on_leaf(self, peer: str, message: wire.Leaf) -> None:
+        """Sends a peer what it lacks, and asks for what it is ahead in.
+
+        Raises:
+            errors.PeerUnreachableError: The peer can't be reached.
+        """
+        if not signatures.is_label(message.node):
+            return
+        theirs = {summary.name: summary for summary in message.entries}
+        newer = [
+            self._roster.update_of(entry)
+            for entry in self._below(message.node)
+            if _is_newer(entry, theirs.get(entry.record.name))
+        ]
+        if newer:
+            self._send(peer, self._wrap(newer[:_MOST_UPDATES]))
+        if message.answer:
+            self._send(peer, self._leaf(message.node, answer=False))
+
+    def _show(self, peer: str, node: str) -> None:
+        children = self._roster.tree.children(node)
+        self._send(peer, wire.Signatures(node, children))
+
+    def _leaf(self, node: str, answer: bool) -> wire.Leaf:
+        entries = [
+            wire.Summary(
+                entry.record.name,
+                entry.record.incarnation,
+                entry.record.revision,
+                entry.state,
+            )
+            for entry in self._below(node)
+        ]
+        return wire.Leaf(node, entries, answer)
+
+    def _below(self, node: str) -> list[rosters.Entry]:
+        return [
+            entry
+            for entry in self._roster.entries()
+            if signatures.leaf_of(entry.record.name).startswith(node)
+        ]
+
+
+def _is_newer(entry: rosters.Entry, theirs: wire.Summary | None) -> bool:
+    if theirs is None:
+        return entry.state != rosters.LEFT
+    rank = rosters.rank(theirs.state)
+    return entry.key > (theirs.incarnation, theirs.revision, rank)
+
+
+def create_repair(roster: rosters.Roster, send: Send, wrap: Wrap) -> Repair:
+    """Returns a repair that sends updates as `wrap` makes a message of."""
+    return Repair(roster, send, wrap)
--- /dev/null
+++ b/src/savorybend/internal/roster.py
@@ -0,0 +1,219 @@
+"""What is known of each daemon of the fleet, lost ones included."""
+
+import collections.abc
+import typing
+
+import msgspec
+
+from savorybend.internal import charts
+from savorybend.internal import members
+from savorybend.internal import signatures
+from savorybend.internal import timers
+from savorybend.internal.wire import membership as wire
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+DEAD = "dead"
+LEFT = "left"
+
+# A daemon's news at one revision only ever moves up this order, so that the
+# order in which daemons hear of it doesn't matter.
+_RANKS = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
+_TRIGGERS = {
+    ALIVE: "announce",
+    SUSPECT: "suspect",
+    DEAD: "expire",
+    LEFT: "leave",
+}
+_PRESENT = frozenset({ALIVE, SUSPECT})
+
+# A region may be cut off for hours; its daemons are remembered for longer
+# than that, so that they are found again without anyone's help.
+_KEEP_DEAD_S = 3 * 86_400.0
+# Longer than any rumour of an old revision stays under way.
+_KEEP_LEFT_S = 600.0
+
+
+class Entry(msgspec.Struct):
+    """One daemon.
+
+    Attributes:
+        record: Its newest known record.
+        state: A state of charts/member.json.
+        since_s: When it came into this state, on this daemon's clock.
+    """
+
+    record: members.Record
+    state: str
+    since_s: float
+
+    @property
+    def key(self) -> tuple[int, int, int]:
+        """Orders what is known of one daemon from old to new."""
+        return (*self.record.age_key, _RANKS[self.state])
+
+
+Listener = collections.abc.Callable[[wire.Update], None]
+
+
+class Roster:
+    """Follows each daemon's state and keeps the directory in step."""
+
+    def __init__(self, directory: members.Directory, clock: timers.Clock):
+        self._directory = directory
+        self._clock = clock
+        self._chart = charts.load("member")
+        self._tree = signatures.create_tree()
+        self._entries: dict[str, Entry] = {}
+        self._listeners: list[Listener] = []
+        self._leaving = False
+        own = Entry(directory.own, ALIVE, clock.now_s())
+        self._entries[own.record.name] = own
+        self._toggle(own)
+
+    @property
+    def tree(self) -> signatures.Tree:
+        """Signatures of what is known, those that left not included."""
+        return self._tree
+
+    @property
+    def own(self) -> members.Record:
+        """This daemon's own record."""
+        return self._directory.own
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls `listener` with each update that was news."""
+        self._listeners.append(listener)
+
+    def get(self, name: str) -> Entry | None:
+        """Returns what is known of a daemon."""
+        return self._entries.get(name)
+
+    def entries(self) -> collections.abc.Collection[Entry]:
+        """Returns what is known of every daemon."""
+        return self._entries.values()
+
+    def in_state(self, state: str) -> list[Entry]:
+        """Returns the daemons in a state."""
+        return [e for e in self._entries.values() if e.state == state]
+
+    def update_of(self, entry: Entry) -> wire.Update:
+        """Returns an entry as a message tells of it."""
+        age_s = self._clock.now_s() - entry.since_s
+        return wire.Update(entry.record, entry.state, age_s)
+
+    def take(self, update: wire.Update) -> bool:
+        """Takes an update if it is newer than what is known.
+
+        Returns:
+            Whether it was news.
+        """
+        if update.state not in _RANKS:
+            return False
+        if update.record.name == self.own.name:
+            return self._take_own(update)
+        known = self._entries.get(update.record.name)
+        if known is None:
+            return self._add(update)
+        offered = (*update.record.age_key, _RANKS[update.state])
+        if offered <= known.key:
+            return False
+        self._toggle(known)
+        state = known.state
+        if update.record.age_key > known.record.age_key:
+            state = self._chart.initial
+        known.record = update.record
+        known.state = self._chart.next_state(state, _TRIGGERS[update.state])
+        known.since_s = self._clock.now_s() - max(0.0, update.age_s)
+        self._toggle(known)
+        self._settle(known)
+        self._tell(update)
+        return True
+
+    def announce(self, **fields: typing.Any) -> None:
+        """Puts out a new revision of this daemon's own record."""
+        self._announce(self.own.revision + 1, fields)
+
+    def leave(self) -> wire.Update:
+        """Returns this daemon's last word, and spreads it."""
+        self._leaving = True
+        update = wire.Update(self.own, LEFT)
+        self._tell(update)
+        return update
+
+    def forget_old(self) -> None:
+        """Forgets daemons that left or died long ago."""
+        now_s = self._clock.now_s()
+        for name, entry in list(self._entries.items()):
+            keep_s = {DEAD: _KEEP_DEAD_S, LEFT: _KEEP_LEFT_S}.get(entry.state)
+            if keep_s is not None and now_s - entry.since_s > keep_s:
+                self._toggle(entry)
+                del self._entries[name]
+
+    def _take_own(self, update: wire.Update) -> bool:
+        own = self.own
+        accused = update.state != ALIVE or update.record != own
+        if self._leaving or not accused:
+            return False
+        if update.record.age_key < own.age_key:
+            return False
+        if update.record.incarnation > own.incarnation:
+            # A later start of this name; this daemon has been replaced.
+            return False
+        # Only this daemon raises its revision, so the others drop the
+        # accusation as soon as they hear of the new one.
+        self._announce(update.record.revision + 1, {})
+        return True
+
+    def _announce(self, revision: int, fields: dict[str, typing.Any]) -> None:
+        record = msgspec.structs.replace(self.own, revision=revision, **fields)
+        entry = self._entries[record.name]
+        self._toggle(entry)
+        entry.record = record
+        self._toggle(entry)
+        self._directory.put(record)
+        self._tell(wire.Update(record, ALIVE))
+
+    def _add(self, update: wire.Update) -> bool:
+        if update.state == LEFT:
+            return False
+        since_s = self._clock.now_s() - max(0.0, update.age_s)
+        entry = Entry(update.record, update.state, since_s)
+        self._entries[update.record.name] = entry
+        self._toggle(entry)
+        self._settle(entry)
+        self._tell(update)
+        return True
+
+    def _settle(self, entry: Entry) -> None:
+        if entry.state in _PRESENT:
+            self._directory.put(entry.record)
+        else:
+            record = entry.record
+            self._directory.remove(record.name, record.incarnation)
+
+    def _toggle(self, entry: Entry) -> None:
+        if entry.state == LEFT:
+            return
+        # A suspicion is settled within seconds, one way or the other.
+        state = ALIVE if entry.state in _PRESENT else entry.state
+        record = entry.record
+        self._tree.toggle(
+            signatures.Item(
+                record.name, record.incarnation, record.revision, state
+            )
+        )
+
+    def _tell(self, update: wire.Update) -> None:
+        for listener in self._listeners:
+            listener(update)
+
+
+def rank(state: str) -> int:
+    """Returns where a state stands among the news of one revision."""
+    return _RANKS.get(state, -1)
+
+
+def create_roster(directory: members.Directory, clock: timers.Clock) -> Roster:
+    """Returns a roster that knows only this daemon."""
+    return Roster(directory, clock)
--- a/src/savorybend/internal/settings.py
+++ b/src/savorybend/internal/settings.py
@@ -36,6 +36,9 @@
     local_address: Address
     peer_address: Address
     admin_address: Address
+    announced_call_address: Address | None
+    announced_peer_address: Address | None
+    announced_admin_address: Address | None
     platform_url: str
     seeds: tuple[Address, ...]
     fleet_secret: str
@@ -91,6 +94,10 @@
     return text.rstrip("/")
 
 
+def _parse_optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
 def _parse_addresses(text: str) -> tuple[Address, ...]:
     return tuple(parse_address(part) for part in text.split(",") if part)
 
@@ -139,6 +146,24 @@
     _Setting(
         "admin_address", parse_address, None, "metrics, health and operators"
     ),
+    _Setting(
+        "announced_call_address",
+        _parse_optional_address,
+        "",
+        "where callers reach call_address, if elsewhere",
+    ),
+    _Setting(
+        "announced_peer_address",
+        _parse_optional_address,
+        "",
+        "where daemons reach peer_address, if elsewhere",
+    ),
+    _Setting(
+        "announced_admin_address",
+        _parse_optional_address,
+        "",
+        "where admin_address is reached, if elsewhere",
+    ),
     _Setting("platform_url", parse_url, None, "the platform's object API"),
     _Setting(
         "seeds",
--- a/src/savorybend/internal/wire/codec.py
+++ b/src/savorybend/internal/wire/codec.py
@@ -4,11 +4,18 @@
 
 from savorybend.internal import errors
 from savorybend.internal.wire import calls
+from savorybend.internal.wire import configuration
 from savorybend.internal.wire import limits
 from savorybend.internal.wire import membership
 from savorybend.internal.wire import requests
 
-Message = calls.Message | limits.Message | membership.Message | requests.Message
+Message = (
+    calls.Message
+    | configuration.Message
+    | limits.Message
+    | membership.Message
+    | requests.Message
+)
 
 # A chunk of a body and its head fit with room to spare; anything larger comes
 # from no daemon of ours.
--- a/src/savorybend/internal/wire/membership.py
+++ b/src/savorybend/internal/wire/membership.py
@@ -5,16 +5,45 @@
 from savorybend.internal import members
 
 
+class Update(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of a daemon.
+
+    Attributes:
+        record: Its record.
+        state: A state of charts/member.json.
+        age_s: Seconds since it came into this state, as the sender knows.
+    """
+
+    record: members.Record
+    state: str
+    age_s: float = 0.0
+
+
+class Standing(msgspec.Struct, frozen=True, array_like=True):
+    """Which configuration a daemon has in force.
+
+    Attributes:
+        version: Its version, or 0.
+        age_s: Seconds since it was known to be the platform's newest;
+            infinite where that was never known.
+    """
+
+    version: int
+    age_s: float
+
+
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="members.probe"):
     """Asks a daemon whether it lives.
 
     Attributes:
         sequence: Counts the sender's probes.
-        records: News of daemons.
+        updates: News of daemons.
+        standing: The sender's configuration.
     """
 
     sequence: int
-    records: list[members.Record]
+    updates: list[Update]
+    standing: Standing
 
 
 class ProbeReply(
@@ -23,7 +52,96 @@
     """Answers a probe; see `Probe` for the fields."""
 
     sequence: int
-    records: list[members.Record]
+    updates: list[Update]
+    standing: Standing
+
+
+class ProbeFor(msgspec.Struct, frozen=True, array_like=True, tag="members.for"):
+    """Asks a daemon to probe another one on the sender's behalf.
+
+    Attributes:
+        sequence: The sender's own probe that went unanswered.
+        target: The daemon to probe.
+    """
+
+    sequence: int
+    target: str
+
+
+class ProbeForReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="members.for-reply"
+):
+    """Says that the target of a `ProbeFor` answered."""
+
+    sequence: int
+
+
+class Gossip(
+    msgspec.Struct, frozen=True, array_like=True, tag="members.gossip"
+):
+    """Spreads news; see `Probe` for the fields."""
+
+    updates: list[Update]
+    standing: Standing
+
+
+class Signatures(
+    msgspec.Struct, frozen=True, array_like=True, tag="members.signatures"
+):
+    """Shows the signatures of a node's children.
+
+    Attributes:
+        node: Label of the node in the tree of signatures.
+        children: The signatures, in the order of the labels.
+    """
+
+    node: str
+    children: list[int]
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True):
+    """The version of what is known of one daemon."""
+
+    name: str
+    incarnation: int
+    revision: int
+    state: str
+
+
+class Leaf(msgspec.Struct, frozen=True, array_like=True, tag="members.leaf"):
+    """Lists the daemons below a leaf of the tree of signatures.
+
+    Attributes:
+        node: Label of the leaf.
+        entries: What the sender knows of each daemon there.
+        answer: Whether the receiver is to send its own list back.
+    """
+
+    node: str
+    entries: list[Summary]
+    answer: bool
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """Introduces a daemon to another one.
+
+    Attributes:
+        record: The record of the daemon that joins.
+        whole: Whether it wants all that is known of the fleet.
+        known: What it knows of the daemon that it asks.
+    """
+
+    record: members.Record
+    whole: bool
+    known: list[Update]
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Answers a `JoinRequest` with news of daemons."""
+
+    updates: list[Update]
 
 
-Message = Probe | ProbeReply
+Message = (
+    Probe | ProbeReply | ProbeFor | ProbeForReply | Gossip | Signatures | Leaf
+)
