Treat another daemon's verdict of death as a suspicion, and probe wider

Cause: a hand-driven fleet whose data centre was cut off and healed after one contact didn't agree again: the first daemon to cross took over that its own neighbours were dead, and shut out their keys. And a cut data centre of ten was not found dead within 20 s, since each daemon probes one neighbour there. Ruled out: dropping verdicts that arrive by repair, since a dead daemon would then live on where the rumour got lost. Change: a verdict from elsewhere starts a suspicion; a silent neighbour in another data centre is followed by probes of three more there; one that left is remembered by daemons that never knew it (a property test found that stale news brought it back).

--- a/src/savorybend/internal/membership.py
+++ b/src/savorybend/internal/membership.py
@@ -79,6 +79,7 @@
             self._roster, parts.transport.send, self._create_gossip
         )
         self._round_due = False
+        self._quiet = False
         self._subscriptions: list[timers.Subscription] = []
         self._roster.subscribe(self._on_update)
         self._listen()
@@ -119,8 +120,11 @@
 
     def take(self, updates: collections.abc.Iterable[wire.Update]) -> None:
         """Takes news of daemons."""
+        # A new daemon is told of the whole fleet, which knows all of it.
+        self._quiet = len(self._parts.directory.all()) == 1
         for update in updates:
             self._roster.take(update)
+        self._quiet = False
 
     def tell_neighbours(self) -> None:
         """Tells the neighbours which configuration this daemon has."""
@@ -187,6 +191,8 @@
         self._parts.configuration.on_standing(peer, message.standing)
 
     def _on_update(self, update: wire.Update) -> None:
+        if self._quiet:
+            return
         self._rumours.add(update)
         self._plan_round()
 
--- a/src/savorybend/internal/probing.py
+++ b/src/savorybend/internal/probing.py
@@ -6,6 +6,7 @@
 import typing
 
 from savorybend.internal import errors
+from savorybend.internal import members
 from savorybend.internal import neighbours
 from savorybend.internal import roster as rosters
 from savorybend.internal import timers
@@ -16,6 +17,7 @@
 REPLY_TIMEOUT_S = 0.5
 # Three others rule out that the way to the target alone is broken.
 _HELPERS = 3
+_WIDER_PROBES = 3
 # Time for the accused to hear of it and for its word to come back.
 SUSPICION_S = 3.0
 # After a pause this long, silence of the others proves nothing.
@@ -138,6 +140,23 @@
         entry = self._parts.roster.get(pending.target)
         if entry is not None and entry.state == rosters.ALIVE:
             self._parts.roster.take(wire.Update(entry.record, rosters.SUSPECT))
+            self._widen(entry.record)
+
+    def _widen(self, silent: members.Record) -> None:
+        # This daemon has one neighbour in each other data centre. Where that
+        # one is silent, the whole data centre may be cut off, which probes of
+        # one neighbour after another would take minutes to find out.
+        if silent.data_centre == self._parts.roster.own.data_centre:
+            return
+        others = [
+            entry.record.name
+            for entry in self._parts.roster.in_state(rosters.ALIVE)
+            if entry.record.data_centre == silent.data_centre
+        ]
+        now_s = self._parts.timers.clock.now_s()
+        count = min(_WIDER_PROBES, len(others))
+        for name in self._parts.rng.sample(others, count):
+            self._probe(_Pending(name, now_s))
 
     def _helpers(self, target: str) -> list[str]:
         names = [
@@ -157,11 +176,8 @@
 
     def _settle(self, now_s: float) -> None:
         for name, since_s in list(self._suspected_s.items()):
-            entry = self._parts.roster.get(name)
-            if entry is None or now_s - since_s < SUSPICION_S:
-                continue
-            update = wire.Update(entry.record, rosters.DEAD)
-            self._parts.roster.take(update)
+            if now_s - since_s >= SUSPICION_S:
+                self._parts.roster.expire(name)
 
     def _excuse(self, now_s: float) -> None:
         # This daemon was paused: replies went unread and refutations unheard.
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -1,6 +1,7 @@
 """What is known of each daemon of the fleet, lost ones included."""
 
 import collections.abc
+import math
 import typing
 
 import msgspec
@@ -27,11 +28,10 @@
 }
 _PRESENT = frozenset({ALIVE, SUSPECT})
 
-# A region may be cut off for hours; its daemons are remembered for longer
-# than that, so that they are found again without anyone's help.
-_KEEP_DEAD_S = 3 * 86_400.0
-# Longer than any rumour of an old revision stays under way.
-_KEEP_LEFT_S = 600.0
+# Those that left are remembered for longer than news of an older revision is
+# under way. A region may be cut off for hours; its daemons are remembered for
+# longer than that, so that they are found again without anyone's help.
+_KEEP_S = {LEFT: 600.0, DEAD: 3 * 86_400.0}
 
 
 class Entry(msgspec.Struct):
@@ -115,6 +115,20 @@
         known = self._entries.get(update.record.name)
         if known is None:
             return self._add(update)
+        if update.state == DEAD and known.state in _PRESENT:
+            # Another daemon's verdict, perhaps from across a cut that has
+            # healed: the accused is given the time to speak up.
+            update = wire.Update(update.record, SUSPECT)
+        return self._move(known, update)
+
+    def expire(self, name: str) -> bool:
+        """Takes a daemon for dead, on this daemon's own account."""
+        known = self._entries.get(name)
+        if known is None or known.state not in _PRESENT:
+            return False
+        return self._move(known, wire.Update(known.record, DEAD))
+
+    def _move(self, known: Entry, update: wire.Update) -> bool:
         offered = (*update.record.age_key, _RANKS[update.state])
         if offered <= known.key:
             return False
@@ -145,8 +159,7 @@
         """Forgets daemons that left or died long ago."""
         now_s = self._clock.now_s()
         for name, entry in list(self._entries.items()):
-            keep_s = {DEAD: _KEEP_DEAD_S, LEFT: _KEEP_LEFT_S}.get(entry.state)
-            if keep_s is not None and now_s - entry.since_s > keep_s:
+            if now_s - entry.since_s > _KEEP_S.get(entry.state, math.inf):
                 self._toggle(entry)
                 del self._entries[name]
 
@@ -175,7 +188,7 @@
         self._tell(wire.Update(record, ALIVE))
 
     def _add(self, update: wire.Update) -> bool:
-        if update.state == LEFT:
+        if update.age_s > _KEEP_S.get(update.state, math.inf):
             return False
         since_s = self._clock.now_s() - max(0.0, update.age_s)
         entry = Entry(update.record, update.state, since_s)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,17 @@
 """Hand-driven fakes at the interfaces."""
 
+import random
+
+from savorybend.internal import configspread
+from savorybend.internal import configstore
+from savorybend.internal import contact
+from savorybend.internal import errors
+from savorybend.internal import members
+from savorybend.internal import membership
+from savorybend.internal import timers
+from savorybend.internal.wire import codec
+from savorybend.internal.wire import membership as wire
+
 
 class ManualClock:
     """A clock that moves only when told."""
@@ -16,3 +28,149 @@
 
 def create_clock() -> ManualClock:
     return ManualClock()
+
+
+class Fleet:
+    """Members that exchange encoded messages under one hand-driven clock.
+
+    Attributes:
+        cut: Pairs of names between which nothing passes.
+        frozen: Names whose messages and timers wait.
+    """
+
+    def __init__(self, seed: int = 1, delay_s: float = 0.01):
+        self.clock = create_clock()
+        self.delay_s = delay_s
+        self.members: dict[str, Member] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.frozen: set[str] = set()
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self._rng = random.Random(seed)
+        self._timers = timers.create_manual_timer_service(self.clock)
+
+    def add(self, name: str, data_centre: str = "east", incarnation: int = 1):
+        """Starts a member; it knows nobody."""
+        member = Member(self, name, data_centre, incarnation, self._rng)
+        self.members[name] = member
+        return member
+
+    def join(self, name: str, other: str):
+        """Lets a member join through another, as the admin page does."""
+        joiner, host = self.members[name], self.members[other]
+        for _ in range(2):
+            own = joiner.directory.own
+            known = joiner.membership.roster.get(other)
+            request = wire.JoinRequest(
+                own,
+                True,
+                [joiner.membership.roster.update_of(known)]
+                if known and known.state == "dead"
+                else [],
+            )
+            reply = host.contact.answer(request)
+            joiner.membership.take(reply.updates)
+            if joiner.directory.own == own:
+                break
+        joiner.membership.repair_with(other)
+
+    def part(self, left, right):
+        """Cuts two groups of members from one another."""
+        self.cut |= {frozenset((a, b)) for a in left for b in right}
+
+    def advance(self, seconds: float, step_s: float = 0.05):
+        """Moves the clock and runs what is due."""
+        for _ in range(round(seconds / step_s)):
+            self.clock.advance(step_s)
+            self._timers.run_due()
+            for name, member in self.members.items():
+                if name not in self.frozen:
+                    member.run_due()
+
+    def carry(self, sender: str, receiver: str, data: bytes):
+        """Delivers a message after the delay, unless the way is cut."""
+        self.sent_bytes += len(data)
+        self.sent_messages += 1
+        self._timers.after(
+            self.delay_s, lambda: self._deliver(sender, receiver, data)
+        )
+
+    def _deliver(self, sender: str, receiver: str, data: bytes):
+        target = self.members.get(receiver)
+        if target and frozenset((sender, receiver)) not in self.cut:
+            target.inbox.append((sender, data))
+
+
+class Member:
+    """One member of a `Fleet`: the real parts over a fake transport."""
+
+    def __init__(self, fleet, name, data_centre, incarnation, rng):
+        self._fleet = fleet
+        self._name = name
+        self._handlers = {}
+        self.inbox = []
+        self.timers = timers.create_manual_timer_service(fleet.clock)
+        self.directory = members.create_directory(
+            create_record(name, data_centre, incarnation)
+        )
+        self.store = configstore.create_store(fleet.clock)
+        self.spread = configspread.create_spread(self.store, self, self.timers)
+        self.membership = membership.create_membership(
+            membership.Parts(
+                self.directory, self, self.timers, rng, self.spread
+            )
+        )
+        self.contact = contact.create_contact(
+            contact.Parts(self.membership, self.directory, None, None, (), rng)
+        )
+        self.store.subscribe(lambda _: self.membership.tell_neighbours())
+        self.membership.start()
+
+    def send(self, peer, message):
+        if not self.directory.get(peer):
+            raise errors.PeerUnreachableError(peer)
+        self._fleet.carry(self._name, peer, codec.encode(message))
+
+    def subscribe(self, kind, handler):
+        self._handlers[kind] = handler
+
+    def run_due(self):
+        """Takes what has arrived and runs the timers."""
+        inbox, self.inbox = self.inbox, []
+        for sender, data in inbox:
+            # Nobody unannounced is let in.
+            if self.directory.get(sender):
+                message = codec.decode(data)
+                self._handlers[type(message)](sender, message)
+        self.timers.run_due()
+
+    def sees(self):
+        """Returns the names of the daemons that it takes for living."""
+        return {record.name for record in self.directory.all()}
+
+
+def create_record(name, data_centre="east", incarnation=1):
+    """Returns a record as a daemon announces it."""
+    host = f"127.0.{sum(name.encode()) % 250}.1"
+    return members.Record(
+        name=name,
+        incarnation=incarnation,
+        data_centre=data_centre,
+        service="back",
+        call_address=f"{host}:7000",
+        peer_address=f"{host}:7002",
+        admin_address=f"{host}:7003",
+        public_key=f"{name}-{incarnation}".ljust(40, "k"),
+    )
+
+
+def create_fleet(count: int, centres=("east",), **options) -> Fleet:
+    """Returns members, spread over data centres, that know one another."""
+    fleet = Fleet(**options)
+    for number in range(count):
+        fleet.add(f"m{number}", centres[number % len(centres)])
+    everyone = [m.directory.own for m in fleet.members.values()]
+    updates = [wire.Update(record, "alive") for record in everyone]
+    for member in fleet.members.values():
+        member.membership.take(updates)
+    return fleet
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,221 @@
+"""Who is in the fleet: probes, rumours, refutation and repair."""
+
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from savorybend.internal import members
+from savorybend.internal import membership
+from savorybend.internal import roster as rosters
+from savorybend.internal import signatures
+from savorybend.internal.wire import membership as wire
+from tests import fakes
+
+_STATES = strategies.sampled_from(["alive", "suspect", "dead", "left"])
+_NAMES = strategies.sampled_from(["a", "b", "c"])
+
+
+def _update(name, incarnation, revision, state):
+    record = fakes.create_record(name, incarnation=incarnation)
+    values = {n: getattr(record, n) for n in record.__struct_fields__}
+    values["revision"] = revision
+    return wire.Update(members.Record(**values), state)
+
+
+_UPDATES = strategies.lists(
+    strategies.builds(
+        _update,
+        _NAMES,
+        strategies.integers(1, 3),
+        strategies.integers(0, 3),
+        _STATES,
+    ),
+    max_size=8,
+)
+
+
+def _create_roster(updates):
+    directory = members.create_directory(fakes.create_record("own"))
+    roster = rosters.create_roster(directory, fakes.create_clock())
+    for update in updates:
+        roster.take(update)
+    return roster
+
+
+def _settle(roster):
+    """Lets every suspicion end, since nobody speaks up here."""
+    for entry in roster.in_state("suspect"):
+        roster.expire(entry.record.name)
+    return roster
+
+
+def _known(roster):
+    return {e.record.name: e.key for e in roster.entries() if e.state != "left"}
+
+
+@hypothesis.given(_UPDATES, strategies.randoms(use_true_random=False))
+def test_the_order_of_news_makes_no_difference(updates, rng):
+    shuffled = list(updates)
+    rng.shuffle(shuffled)
+    first = _settle(_create_roster(updates))
+    second = _settle(_create_roster(shuffled))
+    assert _known(first) == _known(second)
+    root = signatures.ROOT
+    assert first.tree.children(root) == second.tree.children(root)
+
+
+@hypothesis.given(_UPDATES)
+def test_the_directory_has_just_those_that_live(updates):
+    roster = _create_roster(updates)
+    living = {
+        entry.record.name
+        for entry in roster.entries()
+        if entry.state in ("alive", "suspect")
+    }
+    names = {r.name for r in roster._directory.all()}
+    assert names == living
+
+
+def test_a_restart_under_the_same_name_wins():
+    roster = _create_roster([_update("a", 1, 9, "dead")])
+    assert roster.take(_update("a", 2, 0, "alive"))
+    assert not roster.take(_update("a", 1, 9, "left"))
+    assert roster.get("a").state == "alive"
+
+
+def _disagree(fleet):
+    return [m for m in fleet.members.values() if m.sees() != set(fleet.members)]
+
+
+def test_news_reaches_a_large_fleet_in_five_rounds():
+    fleet = fakes.create_fleet(200, ("east", "west", "north"))
+    fleet.advance(5)
+    fleet.add("late", "east")
+    fleet.join("late", "m0")
+    fleet.advance(5 * (membership.ROUND_S + fleet.delay_s), 0.01)
+    assert not _disagree(fleet)
+
+
+def test_a_dead_member_is_found_and_a_living_one_kept():
+    fleet = fakes.create_fleet(12, ("east", "west"))
+    del fleet.members["m3"]
+    fleet.advance(15)
+    assert not _disagree(fleet)
+
+
+def test_a_member_paused_for_long_comes_back_by_itself():
+    fleet = fakes.create_fleet(6)
+    fleet.frozen.add("m0")
+    fleet.advance(20)
+    others = [m for n, m in fleet.members.items() if n != "m0"]
+    assert all("m0" not in m.sees() for m in others)
+    fleet.frozen.clear()
+    # Another one's attempt to reach the lost, as `Contact` makes them.
+    fleet.join("m1", "m0")
+    fleet.advance(5)
+    assert not _disagree(fleet)
+
+
+def test_a_pause_shorter_than_the_suspicion_removes_nobody():
+    fleet = fakes.create_fleet(6)
+    seen = []
+    for member in fleet.members.values():
+        member.directory.subscribe(seen.append)
+    fleet.frozen.add("m0")
+    fleet.advance(2.4)
+    fleet.frozen.clear()
+    fleet.advance(10)
+    assert not [c for c in seen if isinstance(c, members.Gone)]
+
+
+def test_one_broken_way_is_no_death():
+    fleet = fakes.create_fleet(8)
+    fleet.part(["m0"], ["m1"])
+    seen = []
+    for member in fleet.members.values():
+        member.directory.subscribe(seen.append)
+    fleet.advance(30)
+    assert not [c for c in seen if isinstance(c, members.Gone)]
+
+
+def test_a_data_centre_cut_off_comes_back_after_one_contact():
+    fleet = fakes.create_fleet(30, ("east", "west", "north"))
+    east = {f"m{n}" for n in range(0, 30, 3)}
+    rest = set(fleet.members) - east
+    fleet.part(east, rest)
+    fleet.advance(20)
+    assert all(fleet.members[name].sees() == east for name in east)
+    assert all(fleet.members[name].sees() == rest for name in rest)
+    fleet.cut.clear()
+    fleet.join("m0", "m1")
+    fleet.advance(10)
+    assert not _disagree(fleet)
+
+
+def test_one_that_left_is_not_brought_back():
+    fleet = fakes.create_fleet(8)
+    fleet.members["m0"].membership.leave()
+    del fleet.members["m0"]
+    fleet.advance(60)
+    assert not _disagree(fleet)
+
+
+@hypothesis.settings(max_examples=40, stateful_step_count=15)
+class Schedules(stateful.RuleBasedStateMachine):
+    """Cuts, pauses, drains and restarts; in the end all agree."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = fakes.create_fleet(6, ("east", "west"))
+        self.incarnations = itertools.count(2)
+
+    names = strategies.sampled_from([f"m{n}" for n in range(6)])
+
+    @stateful.rule(seconds=strategies.integers(1, 8))
+    def pass_time(self, seconds):
+        self.fleet.advance(seconds, 0.1)
+
+    @stateful.rule(name=names)
+    def freeze(self, name):
+        self.fleet.frozen.add(name)
+
+    @stateful.rule(one=names, other=names)
+    def cut(self, one, other):
+        self.fleet.part([one], [other])
+
+    @stateful.rule()
+    def heal(self):
+        self.fleet.frozen.clear()
+        self.fleet.cut.clear()
+
+    @stateful.rule(name=names, state=strategies.sampled_from("sd"))
+    def change(self, name, state):
+        wanted = members.SERVING if state == "s" else members.DRAINING
+        self.fleet.members[name].membership.set_state(wanted)
+
+    @stateful.rule(name=names)
+    def restart(self, name):
+        old = self.fleet.members[name].directory.own
+        self.fleet.add(name, old.data_centre, next(self.incarnations))
+        self.fleet.frozen.discard(name)
+
+    def teardown(self):
+        self.heal()
+        for _ in range(2):
+            self.fleet.advance(6, 0.1)
+            for name in self.fleet.members:
+                for other in self.fleet.members:
+                    if other not in self.fleet.members[name].sees():
+                        self.fleet.join(name, other)
+        self.fleet.advance(12, 0.1)
+        views = [
+            {r.name: r for r in m.directory.all()}
+            for m in self.fleet.members.values()
+        ]
+        assert len(views[0]) == 6
+        assert all(view == views[0] for view in views)
+
+
+TestSchedules = Schedules.TestCase
