--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -112,6 +112,9 @@
                 await asyncio.sleep(self._proxy.delay_s)
             writer.write(data)
             await writer.drain()
+        if self.fault in (Fault.SILENT, silenced):
+            # The end of the connection isn't passed on either.
+            await asyncio.Event().wait()
 
     async def _read(self, reader):
         try:
--- a/standins/site.py
+++ b/standins/site.py
@@ -13,6 +13,8 @@
 
 import aiohttp
 
+from standins import proxy as proxies
+
 FLEET_SECRET = "a-fleet-secret-for-tests"
 ADMIN_KEY = "an-admin-key-for-tests"
 
@@ -79,6 +81,7 @@
         self.platform = self.book.next()
         self.workers: dict[str, Worker] = {}
         self.addresses: dict[str, Addresses] = {}
+        self.proxies: dict[str, list[proxies.Proxy]] = {}
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self):
@@ -88,11 +91,13 @@
         )
         await self._wait_for(self.platform, "/control")
 
-    async def add(self, workers, **settings: str):
+    async def add(self, workers, proxied=False, **settings: str):
         """Starts workers, and waits until their daemons listen.
 
         Args:
             workers: What to start.
+            proxied: Whether peers reach each daemon through proxies, which
+                `cut` and `heal` control.
             settings: Environment variables of the daemons, by the part of
                 their names after SAVORYBEND_.
         """
@@ -101,7 +106,9 @@
             self.addresses[worker.name] = Addresses(
                 *(self.book.next() for _ in Addresses._fields)
             )
-            self._settings[worker.name] = settings
+            self._settings[worker.name] = dict(settings)
+            if proxied:
+                await self._announce_proxies(worker.name)
             await self.start_daemon(worker.name)
             await self.start_backend(worker.name)
         for worker in workers:
@@ -172,6 +179,32 @@
         async with self.session.get(url) as answer:
             return await answer.json()
 
+    async def put_proxy(self, target):
+        """Starts a proxy in front of an address; returns it and its own."""
+        address = self.book.next()
+        proxy = proxies.Proxy(_split(address), _split(target))
+        await proxy.start()
+        self.proxies.setdefault("", []).append(proxy)
+        return proxy, address
+
+    async def _announce_proxies(self, name):
+        at = self.addresses[name]
+        for field in ("peer", "admin"):
+            proxy, address = await self.put_proxy(getattr(at, field))
+            self.proxies.setdefault(name, []).append(proxy)
+            variable = f"ANNOUNCED_{field.upper()}_ADDRESS"
+            self._settings[name][variable] = address
+
+    def cut(self, name):
+        """Cuts the ways to a daemon that was added `proxied`."""
+        for proxy in self.proxies[name]:
+            proxy.inject(proxies.Fault.CUT)
+
+    def heal(self, name):
+        """Ends what `cut` began."""
+        for proxy in self.proxies[name]:
+            proxy.heal()
+
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
         url = f"http://{self.addresses[name].backend}/control"
@@ -244,6 +277,8 @@
                 process.kill()
         for process in self._processes.values():
             await process.wait()
+        for proxy in self.proxies.get("", ()):
+            await proxy.stop()
 
     async def _start(self, name, module, *arguments, **environment):
         path = self._folder / f"{name}.log"
@@ -268,6 +303,11 @@
                     await asyncio.sleep(_POLL_S)
 
 
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def backend_of(name: str) -> str:
     """Returns the name of a worker's backend server process."""
     return f"{name}-backend"
