--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -169,6 +169,8 @@
         if self._leaving or not accused:
             return False
         if update.record.age_key < own.age_key:
+            # An old accusation: its sender missed the word against it.
+            self._tell(wire.Update(own, ALIVE))
             return False
         if update.record.incarnation > own.incarnation:
             # A later start of this name; this daemon has been replaced.
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -167,6 +167,9 @@
         self.report = wanted.get("report", self.report)
         if wanted.get("drain"):
             await self.drain()
+        elif "drain" in wanted:
+            # The next announcement brings it back.
+            self.draining = False
         return web.json_response({})
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -17,6 +17,7 @@
         body: The body.
         seconds: Time until the end of the answer.
         retry_after_s: When to come back, in seconds.
+        refused: Whether there was no connection, so that nothing was sent.
     """
 
     status: int
@@ -26,6 +27,7 @@
     body: bytes
     seconds: float
     retry_after_s: float
+    refused: bool = False
 
 
 class Caller:
@@ -66,9 +68,10 @@
                     time.monotonic() - started,
                     float(answer.headers.get("Retry-After", 0)),
                 )
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             seconds = time.monotonic() - started
-            return Result(0, "none", "", "", b"", seconds, 0.0)
+            refused = isinstance(error, aiohttp.ClientConnectorError)
+            return Result(0, "none", "", "", b"", seconds, 0.0, refused)
 
     async def take_ids(self, address: str, count: int) -> list[str]:
         """Returns new request IDs from a daemon."""
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -142,6 +142,25 @@
     assert not _accused(fleet)
 
 
+def test_a_suspicion_is_not_settled_by_a_pause():
+    fleet = fakes.create_fleet(6)
+    paused = fleet.members["m0"]
+    fleet.frozen.add("m1")
+    while paused.membership.roster.get("m1").state != "suspect":
+        fleet.advance(0.1)
+    fleet.frozen = {"m0"}
+    fleet.advance(4)
+    seen = []
+    paused.directory.subscribe(seen.append)
+    # What m1 said against it was lost with the connections.
+    paused.inbox.clear()
+    fleet.frozen.clear()
+    fleet.advance(6)
+    assert not [
+        c for c in seen if isinstance(c, members.Gone) and c.record.name == "m1"
+    ]
+
+
 def test_one_that_was_paused_accuses_nobody():
     fleet = fakes.create_fleet(6)
     fleet.advance(2)
