--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -123,19 +123,19 @@
 
 
 async def test_a_stale_peer_brings_no_work_to_a_drained_one():
-    workers = _workers(3)
+    workers = [*_workers(2), sites.Worker("front-0", "east", "front")]
     async with (
         sites.create_site() as site,
         aiohttp.ClientSession() as session,
     ):
         await _start(site, workers)
         # This one sleeps through the news and wakes up with work at hand.
-        site.freeze("back-1")
+        site.freeze("front-0")
         await site.control("back-0", drain=True)
         await asyncio.sleep(_DRAINED_S)
         before = len((await site.record("back-0"))["runs"])
-        site.resume("back-1")
-        async with Load(site, session, "/back", ["back-1"]) as load:
+        site.resume("front-0")
+        async with Load(site, session, "/back", ["front-0"]) as load:
             await asyncio.sleep(1)
         after = await site.record("back-0")
         assert len(after["runs"]) == before
--- /dev/null
+++ b/tests/integration/test_outages.py
@@ -0,0 +1,135 @@
+"""The platform is out, or a data centre is cut off, for as long as it takes."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from standins import caller
+from standins import site as sites
+from tests import documents
+from tests.integration import fleets
+
+pytestmark = pytest.mark.asyncio
+
+
+async def _start(site, workers, **options):
+    await site.add(workers, **options)
+    await fleets.submit(site)
+    await site.wait_ready()
+    assert await fleets.until(fleets.agree(site))
+
+
+async def _replace(site, name):
+    """Replaces a VM: nothing is left of the old one."""
+    site.kill(name)
+    site.kill(sites.backend_of(name))
+    await site.wait_ended(name)
+    await site.start_daemon(name)
+    await site.start_backend(name)
+    await site.wait_listening(name)
+
+
+async def test_calls_and_replacements_go_on_without_the_platform():
+    names = ["back-0", "back-1", "back-2"]
+    workers = [sites.Worker(name, "east", "back") for name in names]
+    async with (
+        sites.create_site() as site,
+        aiohttp.ClientSession() as session,
+    ):
+        # The seeds are the first daemon's address, which is known already.
+        await site.add(workers[:1])
+        seed = site.addresses["back-0"].admin
+        await _start(site, workers[1:], SEEDS=seed)
+        await site.control_platform("down")
+        person = caller.Caller(session, documents.MARUYAMA.text)
+        for _ in range(3):
+            await _replace(site, "back-2")
+            await site.wait_ready()
+            assert await fleets.until(fleets.agree(site))
+            for name in names:
+                address = site.addresses[name].call
+                result = await person.call(address, "/back")
+                assert result.outcome == "ran"
+        status = await site.ask("back-2", "status")
+        assert status["configuration_age_s"] > 1
+        code, output = await site.ctl(
+            "config", "submit", "-", stdin=fleets.create_text(9)
+        )
+        assert code != 0
+        assert "platform" in output
+        await site.control_platform("up")
+        version = await fleets.submit(site, 9)
+        # The backoff after a long outage is bounded, the target is not met
+        # by it: the platform is back at a moment of its own.
+        assert await fleets.in_force(site, version, names, fleets.SETTLE_S)
+
+
+async def test_a_stranger_without_the_secret_is_not_let_in():
+    async with sites.create_site() as site:
+        await _start(site, [sites.Worker("back-0", "east", "back")])
+        seed = site.addresses["back-0"].admin
+        await site.add(
+            [sites.Worker("stranger", "east", "back")],
+            SEEDS=seed,
+            FLEET_SECRET="another-secret-for-tests",
+            PLATFORM_URL=f"http://{site.book.next()}",
+        )
+        await asyncio.sleep(3)
+        assert await fleets.sees(site, "back-0") == {"back-0"}
+        assert await fleets.sees(site, "stranger") == {"stranger"}
+        url = f"http://{seed}/metrics"
+        async with site.session.get(url) as answer:
+            text = await answer.text()
+        assert 'savorybend_peer_refusals_total{cause="join"}' in text
+
+
+async def test_a_recorded_introduction_is_no_use():
+    async with sites.create_site() as site:
+        await _start(site, [sites.Worker("back-0", "east", "back")])
+        url = f"http://{site.addresses['back-0'].admin}/join"
+        async with site.session.get(url) as answer:
+            nonce = answer.headers["Savorybend-Nonce"]
+        for sent in ({}, {"Savorybend-Nonce": nonce}):
+            sent["Savorybend-Mac"] = "0" * 64
+            async with site.session.post(
+                url, data=b"x", headers=sent
+            ) as answer:
+                assert answer.status == 403
+
+
+async def test_data_centres_cut_from_one_another_come_back():
+    names = ["east-0", "north-0", "west-0"]
+    workers = [sites.Worker(n, n.partition("-")[0], "back") for n in names]
+    async with (
+        sites.create_site() as site,
+        aiohttp.ClientSession() as session,
+    ):
+        await _start(site, workers, proxied=True)
+        person = caller.Caller(session, documents.MARUYAMA.text)
+        for name in names:
+            site.cut(name)
+        for name in names:
+            assert await fleets.until(fleets.agree(site, [name]))
+            address = site.addresses[name].call
+            assert (await person.call(address, "/back")).outcome == "ran"
+        version = await fleets.submit(site, 9)
+        # Each still has its own way to the platform.
+        assert await fleets.in_force(site, version, names)
+        for name in names:
+            site.heal(name)
+        assert await fleets.until(fleets.agree(site))
+        await asyncio.sleep(5)
+        assert await fleets.agree(site)()
+
+
+async def test_a_killed_daemon_is_forgotten_and_its_successor_known():
+    names = [f"back-{n}" for n in range(4)]
+    workers = [sites.Worker(name, "east", "back") for name in names]
+    async with sites.create_site() as site:
+        await _start(site, workers)
+        site.kill("back-3")
+        await site.wait_ended("back-3")
+        assert await fleets.until(fleets.agree(site, names[:3]))
+        await site.start_daemon("back-3")
+        assert await fleets.until(fleets.agree(site))
