Hold the limit on real processes, and move parts only to who answers

Cause: an owner whose allocator was cut off went on giving it its parts, so that they rested until they had lapsed, and took them back from a live one when it turned to a silent one. Change: parts go only to an allocator that has answered the last message; the one before goes on until then. A daemon never passes itself over.

--- a/src/savorybend/internal/allocators.py
+++ b/src/savorybend/internal/allocators.py
@@ -12,7 +12,7 @@
 )
 
 # A daemon that didn't answer is passed over for so long.
-_SUSPECT_S = 2.0
+_SUSPECT_S = 5.0
 
 
 class Directory(typing.Protocol):
@@ -48,9 +48,8 @@
         candidates = self.of_centre(data_centre)
         if not candidates:
             return NO_ALLOCATOR
-        now_s = self._clock.now_s()
         for record in candidates:
-            if self._suspects.get(record.name, now_s) <= now_s:
+            if not self.suspected(record.name):
                 return record.name
         return candidates[0].name
 
@@ -61,8 +60,16 @@
             found = self._ranked[data_centre] = self._rank(data_centre)
         return found
 
+    def suspected(self, name: str) -> bool:
+        """Returns whether a daemon is passed over just now."""
+        until_s = self._suspects.get(name)
+        return until_s is not None and self._clock.now_s() < until_s
+
     def suspect(self, name: str) -> None:
         """Passes over a daemon that didn't answer."""
+        if name == self._directory.own.name:
+            # It answers as soon as its owners have turned to it.
+            return
         self._suspects[name] = self._clock.now_s() + _SUSPECT_S
 
     def _rank(self, data_centre: str) -> list[members.Record]:
--- a/src/savorybend/internal/entrusting.py
+++ b/src/savorybend/internal/entrusting.py
@@ -33,7 +33,9 @@
         self._parts = parts
         self._holdings = holdings
         self._asked = ""
+        self._answered = False
         self._unanswered = 0
+        self._probing = False
         self._hinted = False
         self._leaving = False
 
@@ -46,24 +48,38 @@
         allocator = self._choose()
         if not allocator:
             return
-        self._unanswered += 1
         bound_to = self._holdings.entrusted_to[0]
-        if allocator != bound_to and self._holdings.bound(now_s):
-            withdrawal = self._holdings.withdraw(now_s)
-            self._parts.send(bound_to, withdrawal)
-        message = self._holdings.entrust(allocator, now_s)
+        moving = self._holdings.bound(now_s) and allocator != bound_to
+        # Parts go only to an allocator that has answered the last message:
+        # given to a lost one they would rest until that has lapsed.
+        silent = self._unanswered > 0 or not self._answered
+        self._probing = moving or silent
+        self._unanswered += 1
+        message = self._holdings.entrust(allocator, now_s, self._probing)
         self._parts.send(allocator, message)
+        if moving and not self._parts.chooser.suspected(bound_to):
+            # Until the next one answers, the last one goes on.
+            self._parts.send(bound_to, self._holdings.entrust(bound_to, now_s))
 
     def on_entrusted(self, peer: str, message: messages.Entrusted) -> None:
         """Takes an allocator's answer, or its hint that parts were granted."""
         now_s = self._parts.clock.now_s()
-        if peer == self._asked:
-            self._unanswered = 0
-        before = self._holdings.entrusted_to
         self._holdings.on_entrusted(peer, message, now_s)
         self._hinted = not message.sent_s
-        idle = before[0] != peer and self._holdings.may_bind(peer, now_s)
-        if self._hinted or (idle and self._holdings.usable(now_s)):
+        if self._hinted:
+            self.tick()
+            return
+        if peer != self._asked:
+            return
+        probing, self._probing = self._probing, False
+        self._answered = True
+        self._unanswered = 0
+        bound_to = self._holdings.entrusted_to[0]
+        if not probing:
+            return
+        if self._holdings.bound(now_s) and bound_to != peer:
+            self._parts.send(bound_to, self._holdings.withdraw(now_s))
+        elif self._holdings.usable(now_s):
             # Without this the parts would rest until the next tick.
             self.tick()
 
@@ -88,6 +104,7 @@
             chooser.suspect(allocator)
             allocator = chooser.allocator(centre)
         if allocator != self._asked:
+            self._answered = False
             self._unanswered = 0
         self._asked = allocator or ""
         return self._asked
--- a/src/savorybend/internal/holdings.py
+++ b/src/savorybend/internal/holdings.py
@@ -93,16 +93,24 @@
             if owned.usable_from_s <= now_s
         )
 
-    def entrust(self, allocator: str, now_s: float) -> messages.Entrust:
+    def entrust(
+        self, allocator: str, now_s: float, probe: bool = False
+    ) -> messages.Entrust:
         """Returns the message that entrusts the parts to an allocator.
 
         It carries no parts while another allocator still has them, or while
         this one's stamp isn't known.
+
+        Args:
+            allocator: Its name.
+            now_s: Now.
+            probe: Entrusts nothing, so that an allocator which doesn't
+                answer isn't given the parts for longer.
         """
         stamp = self._stamps.get(allocator, _Stamp(0, 0.0))
         target = (allocator, stamp.incarnation)
         parts: tuple[messages.Part, ...] = ()
-        if self.may_bind(allocator, now_s):
+        if not probe and self.may_bind(allocator, now_s):
             parts = self.usable(now_s)
         if parts:
             self._bound_to = target
--- /dev/null
+++ b/tests/integration/test_limits.py
@@ -0,0 +1,163 @@
+"""The fleet's limit on real processes, while things fail."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from savorybend import configuration
+from standins import caller
+from standins import site as sites
+from tests import documents
+
+pytestmark = pytest.mark.asyncio
+
+_NAMES = ("east-1", "east-2", "west-1", "west-2")
+_RATE_PER_S = 100.0
+_BURST = 100.0
+_OVER_PER_S = 3 * _RATE_PER_S
+_INSIDE_PER_S = 20.0
+_SENDING_S = 6.0
+_FAULT_AT_S = 1.5
+_HEAL_AT_S = 4.5
+
+
+class _Sender:
+    """Sends an account's calls at a pace, over every entry in turn."""
+
+    def __init__(self, site, session, key, pace_per_s):
+        self._site = site
+        self._person = caller.Caller(session, key.text)
+        self._pace_per_s = pace_per_s
+        self.results = []
+        self.last_admitted = 0.0
+
+    async def send(self, seconds, names):
+        begin = time.monotonic()
+        tasks = []
+        for number in range(int(seconds * self._pace_per_s)):
+            late = begin + number / self._pace_per_s - time.monotonic()
+            if late > 0:
+                await asyncio.sleep(late)
+            name = names[number % len(names)]
+            tasks.append(asyncio.create_task(self._call(name)))
+        await asyncio.gather(*tasks)
+        return self.last_admitted - begin
+
+    async def _call(self, name):
+        address = self._site.addresses[name].call
+        result = await self._person.call(address, "/back", timeout_s=5)
+        self.results.append(result)
+        if result.outcome in ("ran", "partial", "unknown"):
+            self.last_admitted = time.monotonic()
+
+    @property
+    def admitted(self):
+        found = ("ran", "partial", "unknown")
+        return sum(result.outcome in found for result in self.results)
+
+    @property
+    def limited(self):
+        return sum(result.reason == "limited" for result in self.results)
+
+
+async def _start(site, names, **options):
+    workers = [
+        sites.Worker(name, name.split("-")[0], "back", slots=64, work_ms=1)
+        for name in names
+    ]
+    await site.add(workers, LOG_LEVEL="warning", **options)
+    wanted = configuration.create_site(["east", "west"])
+    wanted.add_service("back")
+    wanted.add_route("back", path="/back", service="back")
+    for key in (documents.MARUYAMA, documents.OTARU):
+        name = key.key_id.removesuffix("-1")
+        wanted.add_client_account(name, rate_per_s=_RATE_PER_S, burst=_BURST)
+        wanted.add_key(name, key.key_id, **key.stored)
+    document = wanted.to_json().encode()
+    code, output = await site.ctl("config", "submit", "-", stdin=document)
+    assert code == 0, output
+    await site.wait_ready()
+
+
+async def _allocator(site):
+    """Returns the allocator of the data centre called east."""
+    states = await site.ask("east-1", "limits")
+    return states[0]["allocator"]
+
+
+async def _nothing(site):
+    """No fault."""
+
+
+async def _kill_allocator(site):
+    site.kill(await _allocator(site))
+
+
+async def _freeze_allocator(site):
+    name = await _allocator(site)
+    site.freeze(name)
+    await asyncio.sleep(_HEAL_AT_S - _FAULT_AT_S)
+    site.resume(name)
+
+
+async def _platform_down(site):
+    await site.control_platform("down")
+
+
+async def _cut_all(site):
+    for name in site.workers:
+        site.cut(name)
+    await asyncio.sleep(_HEAL_AT_S - _FAULT_AT_S)
+    for name in site.workers:
+        site.heal(name)
+
+
+async def _send(fault, names, inside_names):
+    """Returns both senders after the fault, and how long calls were admitted.
+
+    Args:
+        fault: What is done to the site while calls come.
+        names: The site's daemons, which the account over its rate calls.
+        inside_names: Those that the account inside its rate calls.
+    """
+    async with (
+        sites.create_site() as site,
+        aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session,
+    ):
+        await _start(site, names, proxied=fault is _cut_all)
+        over = _Sender(site, session, documents.MARUYAMA, _OVER_PER_S)
+        inside = _Sender(site, session, documents.OTARU, _INSIDE_PER_S)
+        sending = asyncio.gather(
+            over.send(_SENDING_S, names),
+            inside.send(_SENDING_S, inside_names),
+        )
+        await asyncio.sleep(_FAULT_AT_S)
+        await fault(site)
+        passed_s, _ = await sending
+        return over, inside, passed_s
+
+
+# Each row: the fault, the daemons, and the entries that the account inside
+# its rate uses; a caller of a lost daemon is told nothing.
+_CENTRES = ("east-1", "west-1")
+_WEST = ("west-1", "west-2")
+_FAULTS = {
+    "none": (_nothing, _NAMES, _NAMES),
+    "allocator killed": (_kill_allocator, _NAMES, _WEST),
+    "allocator frozen and resumed": (_freeze_allocator, _NAMES, _WEST),
+    "platform down": (_platform_down, _NAMES, _NAMES),
+    "data centre cut off, then back": (_cut_all, _CENTRES, _CENTRES),
+    "every daemon cut off, then back": (_cut_all, _NAMES, _NAMES),
+}
+
+
+@pytest.mark.parametrize("row", _FAULTS)
+async def test_three_times_the_rate_is_held_and_others_are_not_refused(row):
+    over, inside, passed_s = await _send(*_FAULTS[row])
+    assert over.admitted <= _RATE_PER_S * passed_s + _BURST
+    assert over.limited > 0
+    assert inside.limited == 0
