Count what rested parts yielded, and test survivors of a lost allocator

Cause: an allocator that took over began without tokens, so that the calls which had waited for it were refused at once. The rows of a killed and a frozen allocator had left its data centre's entries out for the account inside its rate; they now leave out only the lost daemon itself. Change: an owner says how long nobody could lend from its parts, and the next allocator counts what they yielded meanwhile. Daemons that joined get their parts four at a time instead of two. savorybendctl limits shows every account.

--- a/src/savorybend/internal/allocation.py
+++ b/src/savorybend/internal/allocation.py
@@ -74,6 +74,12 @@
         self.tokens += passed_s * self.terms.rate_per_s * part
         self.clamp(part)
 
+    def credit(self, rested_s: float, now_s: float) -> None:
+        if self.time_s > now_s:
+            return
+        whole = min(rested_s * self.terms.rate_per_s, self.terms.depth)
+        self.tokens += whole / terms_module.PARTS
+
     def clamp(self, part: float) -> None:
         self.tokens = min(self.tokens, self.terms.depth * part)
 
@@ -136,7 +142,12 @@
             self._bucket(name, now_s)
 
     def entrust(
-        self, index: int, serial: int, stamp_s: float, now_s: float
+        self,
+        index: int,
+        serial: int,
+        stamp_s: float,
+        now_s: float,
+        rested_s: float = 0.0,
     ) -> bool:
         """Takes a part in hand; returns whether it still counts.
 
@@ -146,6 +157,8 @@
             stamp_s: This allocator's stamp that the owner sent back. The
                 owner keeps its word from a later instant than this.
             now_s: Now.
+            rested_s: How long nobody could lend from the part before. What
+                it yielded meanwhile is there to be lent.
         """
         self.advance(now_s)
         until_s = stamp_s + ENTRUST_S
@@ -160,6 +173,9 @@
         if known is not None and known.serial == serial:
             until_s = max(until_s, known.until_s)
         self._parts[index] = _Entrusted(serial, until_s)
+        if known is None:
+            for bucket in self._buckets.values():
+                bucket.credit(rested_s, now_s)
         self._note_next_lapse()
         return True
 
--- a/src/savorybend/internal/entrusting.py
+++ b/src/savorybend/internal/entrusting.py
@@ -14,7 +14,7 @@
 
 _MOST_UNANSWERED = 2
 # Parts change hands a few at a time, since each rests meanwhile.
-_MOST_RELEASED = 2
+_MOST_RELEASED = 4
 
 
 class Parts(typing.NamedTuple):
--- a/src/savorybend/internal/holdings.py
+++ b/src/savorybend/internal/holdings.py
@@ -110,9 +110,11 @@
         stamp = self._stamps.get(allocator, _Stamp(0, 0.0))
         target = (allocator, stamp.incarnation)
         parts: tuple[messages.Part, ...] = ()
+        rested_s = 0.0
         if not probe and self.may_bind(allocator, now_s):
             parts = self.usable(now_s)
         if parts:
+            rested_s = self._rested_s(parts, now_s)
             self._bound_to = target
             self._until_s = now_s + allocation.ENTRUST_S
             self._withdrawn_s = float("-inf")
@@ -123,6 +125,7 @@
             now_s,
             parts,
             self._free(now_s),
+            rested_s,
         )
 
     def withdraw(self, now_s: float) -> messages.Withdraw:
@@ -178,6 +181,14 @@
         times = (release.free_from_s for release in self._released.values())
         return max(times, default=float("-inf"))
 
+    def _rested_s(
+        self, parts: tuple[messages.Part, ...], now_s: float
+    ) -> float:
+        if self._until_s == float("-inf"):
+            return 0.0
+        usable = (self._owned[part.index].usable_from_s for part in parts)
+        return max(0.0, now_s - max(self._until_s, *usable))
+
     def _settle_released(self, granted: tuple[messages.Part, ...]) -> None:
         # What the ledger grants no more needn't be reported again, but stays
         # known: an older copy of the ledger must not bring it back.
--- a/src/savorybend/internal/limits.py
+++ b/src/savorybend/internal/limits.py
@@ -96,9 +96,7 @@
         self._keeper = self._create_keeper()
         self._lender = self._create_lender()
         self._spender = self._create_spender()
-        self._ticking = parts.timers.every(
-            entrusting.INTERVAL_S, self._owner.tick
-        )
+        self._ticking = parts.timers.every(entrusting.INTERVAL_S, self._tick)
 
     @property
     def keeper(self) -> ledgerkeeper.Keeper:
@@ -118,18 +116,20 @@
 
     def states(self) -> list[State]:
         """Returns how each account stands here."""
+        if not self._current:
+            return []
         allocator = self._chooser.allocator(self._own.data_centre)
-        self._allocator.advance(self._clock.now_s())
+        entrusted = len(self.parts_in_hand())
         return [
             State(
                 name,
-                self._rate_per_s(name),
-                *counts,
+                account.rate_per_s,
+                *self._spender.counts(name),
                 allocator or "",
                 self._holdings.owned,
-                self._allocator.parts,
+                entrusted,
             )
-            for name, counts in self._spender.counts().items()
+            for name, account in self._current.accounts.items()
         ]
 
     def configure(self, current: snapshot.Snapshot) -> None:
@@ -176,16 +176,25 @@
         """Ends the subscription to the timer service."""
         self._ticking.cancel()
 
+    def _tick(self) -> None:
+        self._owner.tick()
+        metrics.LIMIT_PARTS_OWNED.set(self._holdings.owned)
+        metrics.LIMIT_PARTS_ENTRUSTED.set(len(self.parts_in_hand()))
+        metrics.LIMIT_LEDGER_AGE_S.set(self._keeper.age_s)
+
     def _on_entrust(self, peer: str, message: messages.Entrust) -> None:
         now_s = self._clock.now_s()
         if message.allocator_incarnation == self._own.incarnation:
             for part in message.parts:
                 self._allocator.entrust(
-                    part.index, part.serial, message.stamp_s, now_s
+                    part.index,
+                    part.serial,
+                    message.stamp_s,
+                    now_s,
+                    message.rested_s,
                 )
         self._planner.note_released(message.released)
         granted = self._keeper.current.granted(peer, message.owner_incarnation)
-        metrics.LIMIT_PARTS_ENTRUSTED.set(self._allocator.parts)
         self._send(
             peer,
             messages.Entrusted(
@@ -226,10 +235,6 @@
         names = self._chooser.of_centre(self._own.data_centre)
         return any(record.name == peer for record in names)
 
-    def _rate_per_s(self, name: str) -> float:
-        account = self._current.accounts.get(name) if self._current else None
-        return account.rate_per_s if account is not None else 0.0
-
     def _create_owner(self) -> entrusting.Owner:
         parts = entrusting.Parts(
             self._clock, self._chooser, self._own.data_centre, self._send
--- a/src/savorybend/internal/spending.py
+++ b/src/savorybend/internal/spending.py
@@ -95,17 +95,11 @@
         wait_s = account.borrowed.dry_until_s - now_s
         return self._refuse(account, wait_s)
 
-    def counts(self) -> dict[str, Counts]:
-        """Returns how each account stands."""
-        now_s = self._parts.clock.now_s()
-        return {
-            name: Counts(
-                account.admitted,
-                account.refused,
-                account.borrowed.lots.at_hand(now_s),
-            )
-            for name, account in self._accounts.items()
-        }
+    def counts(self, name: str) -> Counts:
+        """Returns how an account stands."""
+        account = self._account(name)
+        at_hand = account.borrowed.lots.at_hand(self._parts.clock.now_s())
+        return Counts(account.admitted, account.refused, at_hand)
 
     def on_loan(self, message: messages.TokenLoan) -> None:
         """Takes tokens in and gives them to the calls that wait."""
--- a/tests/integration/test_limits.py
+++ b/tests/integration/test_limits.py
@@ -19,6 +19,7 @@
 _OVER_PER_S = 3 * _RATE_PER_S
 _INSIDE_PER_S = 20.0
 _SENDING_S = 6.0
+_SHARED_OUT_S = 60.0
 _FAULT_AT_S = 1.5
 _HEAL_AT_S = 4.5
 
@@ -87,26 +88,40 @@
     return states[0]["allocator"]
 
 
-async def _nothing(site):
+async def _wait_shared_out(site):
+    """Waits until no daemon of a data centre owns more parts than another.
+
+    A daemon that has just joined owns few, which is all that it may lend
+    when it is cut off.
+    """
+    async with asyncio.timeout(_SHARED_OUT_S):
+        while True:
+            pages = [await site.ask(name, "limits") for name in site.workers]
+            owned = {page[0]["parts_owned"] for page in pages}
+            if len(owned) == 1:
+                return
+            await asyncio.sleep(0.2)
+
+
+async def _nothing(site, lost):
     """No fault."""
 
 
-async def _kill_allocator(site):
-    site.kill(await _allocator(site))
+async def _kill_allocator(site, lost):
+    site.kill(lost)
 
 
-async def _freeze_allocator(site):
-    name = await _allocator(site)
-    site.freeze(name)
+async def _freeze_allocator(site, lost):
+    site.freeze(lost)
     await asyncio.sleep(_HEAL_AT_S - _FAULT_AT_S)
-    site.resume(name)
+    site.resume(lost)
 
 
-async def _platform_down(site):
+async def _platform_down(site, lost):
     await site.control_platform("down")
 
 
-async def _cut_all(site):
+async def _cut_all(site, lost):
     for name in site.workers:
         site.cut(name)
     await asyncio.sleep(_HEAL_AT_S - _FAULT_AT_S)
@@ -114,13 +129,14 @@
         site.heal(name)
 
 
-async def _send(fault, names, inside_names):
+async def _send(fault, names, loses):
     """Returns both senders after the fault, and how long calls were admitted.
 
     Args:
         fault: What is done to the site while calls come.
-        names: The site's daemons, which the account over its rate calls.
-        inside_names: Those that the account inside its rate calls.
+        names: The site's daemons.
+        loses: Whether the fault stops the allocator of east, so that nobody
+            there tells a caller anything.
     """
     async with (
         sites.create_site() as site,
@@ -129,29 +145,29 @@
         ) as session,
     ):
         await _start(site, names, proxied=fault is _cut_all)
+        await _wait_shared_out(site)
+        lost = await _allocator(site)
+        staying = [n for n in names if not loses or n != lost]
         over = _Sender(site, session, documents.MARUYAMA, _OVER_PER_S)
         inside = _Sender(site, session, documents.OTARU, _INSIDE_PER_S)
         sending = asyncio.gather(
             over.send(_SENDING_S, names),
-            inside.send(_SENDING_S, inside_names),
+            inside.send(_SENDING_S, staying),
         )
         await asyncio.sleep(_FAULT_AT_S)
-        await fault(site)
+        await fault(site, lost)
         passed_s, _ = await sending
         return over, inside, passed_s
 
 
-# Each row: the fault, the daemons, and the entries that the account inside
-# its rate uses; a caller of a lost daemon is told nothing.
-_CENTRES = ("east-1", "west-1")
-_WEST = ("west-1", "west-2")
+# Each row: the fault, the daemons, and whether an allocator is lost.
 _FAULTS = {
-    "none": (_nothing, _NAMES, _NAMES),
-    "allocator killed": (_kill_allocator, _NAMES, _WEST),
-    "allocator frozen and resumed": (_freeze_allocator, _NAMES, _WEST),
-    "platform down": (_platform_down, _NAMES, _NAMES),
-    "data centre cut off, then back": (_cut_all, _CENTRES, _CENTRES),
-    "every daemon cut off, then back": (_cut_all, _NAMES, _NAMES),
+    "none": (_nothing, _NAMES, False),
+    "allocator killed": (_kill_allocator, _NAMES, True),
+    "allocator frozen and resumed": (_freeze_allocator, _NAMES, True),
+    "platform down": (_platform_down, _NAMES, False),
+    "data centre cut off, then back": (_cut_all, ("east-1", "west-1"), False),
+    "every daemon cut off, then back": (_cut_all, _NAMES, False),
 }
 
 
