Let go of an allocator that the directory has forgotten

Cause: since parts go only to an allocator that answers, the one before goes on until then. One that was gone from the directory was never suspected, so its owners went on entrusting their parts to it for good. Change: only the last holder that answered and is still known goes on.

--- a/src/savorybend/internal/entrusting.py
+++ b/src/savorybend/internal/entrusting.py
@@ -36,6 +36,8 @@
         self._answered = False
         self._unanswered = 0
         self._probing = False
+        # Whether the holder of the parts has answered its last message.
+        self._last_answered = False
         self._hinted = False
         self._leaving = False
 
@@ -55,10 +57,14 @@
         silent = self._unanswered > 0 or not self._answered
         self._probing = moving or silent
         self._unanswered += 1
+        if allocator == bound_to:
+            self._last_answered = False
         message = self._holdings.entrust(allocator, now_s, self._probing)
         self._parts.send(allocator, message)
-        if moving and not self._parts.chooser.suspected(bound_to):
-            # Until the next one answers, the last one goes on.
+        if moving and self._last_answered and self._is_known(bound_to):
+            # Until the next one answers, the last one goes on; but not on
+            # and on, should it be lost.
+            self._last_answered = False
             self._parts.send(bound_to, self._holdings.entrust(bound_to, now_s))
 
     def on_entrusted(self, peer: str, message: messages.Entrusted) -> None:
@@ -69,6 +75,8 @@
         if self._hinted:
             self.tick()
             return
+        if peer == self._holdings.entrusted_to[0]:
+            self._last_answered = True
         if peer != self._asked:
             return
         probing, self._probing = self._probing, False
@@ -109,6 +117,10 @@
         self._asked = allocator or ""
         return self._asked
 
+    def _is_known(self, name: str) -> bool:
+        records = self._parts.chooser.of_centre(self._parts.data_centre)
+        return any(record.name == name for record in records)
+
     def _rebalance(self, now_s: float) -> None:
         count = len(self._parts.chooser.of_centre(self._parts.data_centre))
         if self._leaving or not count or self._holdings.releasing:
--- /dev/null
+++ b/tests/unit/test_limits_recovery.py
@@ -0,0 +1,46 @@
+"""Accounts inside their rate are not refused when an allocator is lost."""
+
+import pytest
+
+from tests import limitsite
+
+_RATE_PER_S = 100.0
+_FILL_S = 10.0
+_NAMES = ("east-1", "east-2", "east-3", "west-1", "west-2")
+_CALLS = dict.fromkeys(_NAMES, 0.8 * _RATE_PER_S / len(_NAMES))
+
+
+def _kill(site, name):
+    # The directory forgets the daemon, which nobody suspects then: its
+    # owners once went on entrusting their parts to it for good.
+    site.remove(name)
+
+
+def _freeze(site, name):
+    site.daemons[name].paused = True
+
+
+def _cut(site, name):
+    site.cut({name})
+
+
+def _replace(site, name):
+    site.remove(name)
+    site.add(name, "east", name)
+
+
+@pytest.mark.parametrize("lose", [_kill, _freeze, _cut, _replace])
+def test_calls_inside_the_rate_go_on_when_an_allocator_is_lost(lose):
+    site = limitsite.Site(1)
+    site.configure(_RATE_PER_S, 2 * _RATE_PER_S)
+    for name in _NAMES:
+        site.add(name, name.split("-")[0])
+    site.run(_FILL_S, {})
+    allocator = site.allocator("east")
+    calls = {n: pace for n, pace in _CALLS.items() if n != allocator}
+    site.run(1.0, calls)
+    lose(site, allocator)
+    site.run(6.0, calls)
+    assert len(site.verdicts) > 0.9 * 7.0 * sum(calls.values())
+    assert all(admitted for _, admitted in site.verdicts)
+    site.close()
