Fetch by its ID an answer that was lost between daemons

Cause: where the connection between the issuer and the daemon beside the backend server broke, the issuer recorded "unknown" for good, though the run went on and its answer was kept. Change: the issuer asks the daemons of the service by ID, while one of them says that it still runs, and again when the request is sent again; what they keep replaces the doubt. An entry does the same when it loses the issuer. Ruled out: dispatching the ID again to the same daemon, which runs it twice if that daemon has started anew in between.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -35,6 +35,7 @@
 from savorybend.internal import quarantine
 from savorybend.internal import receiving
 from savorybend.internal import records
+from savorybend.internal import recovering
 from savorybend.internal import requestpages
 from savorybend.internal import routing
 from savorybend.internal import serving
@@ -212,31 +213,37 @@
                 forwarder=forwarder,
             )
         )
+        recovery = self._create_recovery(clock)
         self._guard = guard.create_guard(
             guard.Parts(
                 daemon=own.name,
                 issuer=self._issuer,
                 records=records.create_records(own.name, clock),
                 journal=self._journal,
+                recovery=recovery,
                 admit=self._intake.spend,
                 target=router,
             )
         )
-        inquirer = inquiries.create_inquirer(
-            inquiries.Parts(self._transport, self._journal, self._records)
-        )
         return dispatching.create_dispatcher(
             dispatching.Parts(
-                clock=clock,
                 directory=self._directory,
                 issuer=self._issuer,
                 guard=self._guard,
                 router=router,
                 forwarder=forwarder,
-                inquirer=inquirer,
+                recovery=recovery,
             )
         )
 
+    def _create_recovery(self, clock: timers.Clock) -> recovering.Recovery:
+        inquirer = inquiries.create_inquirer(
+            inquiries.Parts(self._transport, self._journal, self._records)
+        )
+        return recovering.create_recovery(
+            recovering.Parts(clock, self._directory, inquirer)
+        )
+
     def _create_limiter(self) -> limits.FleetLimiter:
         limiter = limits.create_limiter(
             limits.Parts(
--- a/src/savorybend/internal/guard.py
+++ b/src/savorybend/internal/guard.py
@@ -10,6 +10,7 @@
 from savorybend.internal import journal
 from savorybend.internal import outcomes
 from savorybend.internal import records
+from savorybend.internal import recovering
 from savorybend.internal import requestids
 
 # Decides whether the client account may spend a token on the call.
@@ -25,6 +26,7 @@
     issuer: issuing.Issuer
     records: records.Records
     journal: journal.Journal
+    recovery: recovering.Recovery
     admit: Admit
     target: calls.Target
 
@@ -72,10 +74,16 @@
                     call.request_id,
                     self._parts.daemon,
                 )
+        record = self._parts.records.find(call.request_id)
         fingerprint = fingerprints.of_request(call, body)
-        return await self._parts.records.run(
+        answer = await self._parts.records.run(
             call, fingerprint, lambda: self._start(call, body)
         )
+        if record and record.doubtful and record.fingerprint == fingerprint:
+            # The daemon beside the backend server may have the answer by now.
+            answer = await self._parts.recovery.fetch(call, body, answer)
+            self._parts.records.amend(call.request_id, answer)
+        return answer
 
     async def _start(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
         verdict = await self._parts.admit(call)
@@ -86,6 +94,8 @@
                 )
             case _:
                 answer = await self._parts.target.execute(call, body)
+        if answer.reason == outcomes.ANSWER_LOST.name:
+            answer = await self._parts.recovery.fetch(call, body, answer)
         self._parts.journal.close(
             call.request_id, "settled", answer.outcome.value, answer.reason
         )
--- a/src/savorybend/internal/records.py
+++ b/src/savorybend/internal/records.py
@@ -46,6 +46,13 @@
         self.answer: calls.Answer | None = None
         self.task: asyncio.Task | None = None
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether it is over and nobody knew whether it ran."""
+        if self.answer is None:
+            return False
+        return self.answer.outcome is outcomes.Outcome.UNKNOWN
+
     def step(self, trigger: str) -> None:
         """Follows an arrow of the chart."""
         self.state = _CHART.next_state(self.state, trigger)
@@ -119,6 +126,19 @@
             task.add_done_callback(_abandon)
             raise
 
+    def amend(self, request_id: str, answer: calls.Answer) -> None:
+        """Puts an answer found later in the place of a doubtful one."""
+        record = self._records.get(request_id)
+        if record is None or not record.doubtful:
+            return
+        if answer.outcome is outcomes.Outcome.UNKNOWN:
+            return
+        if record.state != "kept":
+            answer = answer._replace(body=bodies.EMPTY)
+        self._size += len(answer.body.whole) - len(record.answer.body.whole)
+        record.answer = answer
+        self._trim()
+
     async def _finish(
         self, call: calls.Call, record: Record, work: Work
     ) -> calls.Answer:
--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -55,7 +55,8 @@
         await site.wait_ready()
         first = callers.Caller(session, documents.MARUYAMA.text)
         second = callers.Caller(other_session, _SECOND.text)
-        entry = site.addresses["front-1"].call
+        # Another daemon than the one that will see the child calls.
+        entry = site.addresses["back-1"].call
         assert (await first.call(entry, "/back")).outcome == "ran"
         # Both requests have a child at middle-1 while the key is withdrawn.
         await site.control("middle-1", slow=1000)
