--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -25,6 +25,7 @@
 from savorybend.internal import logs
 from savorybend.internal import members
 from savorybend.internal import membership
+from savorybend.internal import peerkeys
 from savorybend.internal import peers
 from savorybend.internal import platform
 from savorybend.internal import receiving
@@ -58,10 +59,12 @@
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
-        keys = peers.create_key_pair()
+        keys = peerkeys.create_key_pair()
         own = _own_record(settings, keys.public)
         self._directory = members.create_directory(own)
-        self._transport = peers.create_transport(self._directory, keys)
+        self._transport = peers.create_transport(
+            self._directory, keys, self._timers
+        )
         self._platform = platform.create_platform(
             settings.platform_url, session
         )
@@ -81,7 +84,7 @@
         self._handles = handles.create_handles()
         self._serving = self._create_serving(clock)
         self._receiver = receiving.create_receiver(
-            self._transport, clock, self._serving, self._directory
+            self._transport, self._timers, self._serving
         )
         self._entry = self._create_entry(clock, own)
         self._listeners = self._create_listeners()
@@ -141,6 +144,8 @@
 
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
+        # An answer that its peer hasn't received yet is still in flight.
+        in_flight += self._transport.waiting
         return in_flight + self._gate.in_use > 0
 
     def _on_configuration(self, _) -> None:
@@ -172,7 +177,7 @@
                 tracker=choice.create_tracker(random.Random()),
                 local=self._serving,
                 forwarder=forwarding.create_forwarder(
-                    self._transport, clock, self._directory
+                    self._transport, self._timers
                 ),
             )
         )
@@ -244,7 +249,7 @@
         data_centre=settings.data_centre,
         service=settings.service,
         call_address=str(settings.call_address),
-        peer_address=str(settings.peer_address),
+        peer_address=str(settings.peer_announce or settings.peer_address),
         admin_address=str(settings.admin_address),
         public_key=public_key,
     )
--- a/src/savorybend/internal/bodies.py
+++ b/src/savorybend/internal/bodies.py
@@ -5,6 +5,8 @@
 import collections.abc
 import typing
 
+from savorybend.internal import errors
+
 # A body up to this size travels whole in one message and one read.
 INLINE_BYTES = 65_536
 # How much of one body may be under way between two daemons, so that a photo
@@ -35,6 +37,9 @@
             errors.AnswerLostError: The rest of the body is lost.
         """
 
+    def abandon(self) -> None:
+        """Says that the rest won't be read."""
+
 
 class WholeBody:
     """A body that is at hand."""
@@ -67,6 +72,9 @@
         self._taken = True
         return self._data
 
+    def abandon(self) -> None:
+        """Does nothing, since nobody sends the rest."""
+
 
 class StreamedBody:
     """A body that is read from an HTTP connection.
@@ -131,10 +139,17 @@
     Args:
         grant: Called with the bytes that were read, so that the sender may
             send as many more.
+        on_abandon: Called when the rest won't be read.
     """
 
-    def __init__(self, grant: collections.abc.Callable[[int], None]):
+    def __init__(
+        self,
+        grant: collections.abc.Callable[[int], None],
+        on_abandon: collections.abc.Callable[[], None] | None = None,
+    ):
         self._grant = grant
+        self._on_abandon = on_abandon
+        self._room = 0
         self._parts: collections.deque[bytes] = collections.deque()
         self._ended = False
         self._error: Exception | None = None
@@ -157,7 +172,21 @@
         return None
 
     def feed(self, data: bytes, last: bool) -> None:
-        """Takes the next part."""
+        """Takes the next part.
+
+        Raises:
+            errors.InvalidMessageError: The sender had no leave for so much.
+        """
+        self._room -= len(data)
+        # A sender with any room left may fill a whole chunk.
+        if self._room < -CHUNK_BYTES:
+            error = errors.InvalidMessageError(
+                f"a body exceeds its window by {-self._room} bytes: run one "
+                "version of savorybend on all VMs"
+            )
+            self._parts.clear()
+            self.fail(errors.AnswerLostError(str(error)))
+            raise error
         if data:
             self._parts.append(data)
         self._ended = self._ended or last
@@ -168,13 +197,26 @@
         self._error = self._error or error
         self._notify()
 
+    def abandon(self) -> None:
+        """Says that the rest won't be read."""
+        self._parts.clear()
+        if self._ended or self._error is not None:
+            return
+        self.fail(
+            errors.AnswerLostError(
+                "the body was abandoned by its reader: read it to its end"
+            )
+        )
+        if self._on_abandon is not None:
+            self._on_abandon()
+
     async def read(self) -> bytes:
         """Returns the next part; empty at the end."""
         if not self._touched:
             # The sender waits for this first room, so that a call which is
             # refused has used up nothing of its body.
             self._touched = True
-            self._grant(WINDOW_BYTES)
+            self._give_room(WINDOW_BYTES)
         while not self._parts:
             if self._error is not None:
                 raise self._error
@@ -184,9 +226,13 @@
             await self._wake
         data = self._parts.popleft()
         if not self._ended:
-            self._grant(len(data))
+            self._give_room(len(data))
         return data
 
+    def _give_room(self, size: int) -> None:
+        self._room += size
+        self._grant(size)
+
     def _notify(self) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
--- /dev/null
+++ b/src/savorybend/internal/connections.py
@@ -0,0 +1,326 @@
+"""Connections between daemons: ZeroMQ, encrypted, opened on demand.
+
+Each daemon binds one ROUTER socket; a DEALER is opened to a peer with the
+first message to it, and the peer answers over the same connection, so that a
+pair has one connection. Sockets are drained from the loop's reader without
+futures, which cost more than the messages themselves.
+"""
+
+import asyncio
+import collections.abc
+
+import zmq
+import zmq.auth.asyncio
+import zmq.utils.monitor
+
+from savorybend.internal import errors
+from savorybend.internal import members
+from savorybend.internal import metrics
+from savorybend.internal import peerkeys
+from savorybend.internal.wire import codec
+
+# After so many messages the loop runs other work before it drains on.
+_DRAIN_BATCH = 64
+# Connections from strangers are dropped if no handshake follows, before a
+# flood of them takes the descriptors that members need.
+_HANDSHAKE_MS = 2000
+_RECONNECT_MS = 50
+_RECONNECT_MOST_MS = 1000
+# The kernel ends connections of VMs that vanished, at no cost to the loop.
+_KEEPALIVE_IDLE_S = 60
+_KEEPALIVE_INTERVAL_S = 10
+_KEEPALIVE_COUNT = 3
+_QUEUED_MESSAGES = 10_000
+_ZAP_DOMAIN = "savorybend"
+# A connection whose peer set no name gets one from the ROUTER that begins so.
+_NAMED_BY_ROUTER = b"\0"
+_FAILED_HANDSHAKES = (
+    zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+)
+
+# Called with a peer's name, a message's bytes and the way that it came.
+Receive = collections.abc.Callable[[str, bytes, "Way"], None]
+# How a message came: the ROUTER's name for the connection, or None for the
+# connection that this daemon opened itself.
+Way = bytes | None
+
+
+class _Path:
+    """The ways to one peer.
+
+    Attributes:
+        dealer: The connection that this daemon opened, or None.
+        route: The ROUTER's name for the one that the peer opened, or None.
+        inward: Whether `route` is used although there is a dealer.
+        used: Whether anything was sent since the last sweep.
+    """
+
+    __slots__ = ("dealer", "inward", "route", "used")
+
+    def __init__(self):
+        self.dealer: zmq.Socket | None = None
+        self.route: Way = None
+        self.inward = False
+        self.used = True
+
+
+class Connections:
+    """Opens, uses and closes the connections of one daemon."""
+
+    def __init__(
+        self,
+        directory: members.Directory,
+        keys: peerkeys.KeyPair,
+        receive: Receive,
+    ):
+        self._directory = directory
+        self._keys = keys
+        self._receive = receive
+        self._loop = asyncio.get_running_loop()
+        self._context = zmq.Context()
+        self._paths: dict[str, _Path] = {}
+        self._peers: dict[bytes, str] = {}
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+            self._context
+        )
+        self._router = self._create_socket(zmq.ROUTER)
+        self._monitor: zmq.Socket | None = None
+
+    def bind(self, address: str) -> None:
+        """Takes connections at `IP:PORT`."""
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            _ZAP_DOMAIN, peerkeys.Announced(self._directory)
+        )
+        router = self._router
+        router.curve_server = True
+        router.zap_domain = _ZAP_DOMAIN.encode()
+        router.set(zmq.ROUTER_MANDATORY, 1)
+        self._monitor = router.get_monitor_socket(_FAILED_HANDSHAKES)
+        self._loop.add_reader(self._monitor.fd, self._drain_monitor)
+        router.bind(f"tcp://{address}")
+        self._loop.add_reader(router.fd, self._drain_router)
+
+    def send(self, peer: str, data: bytes) -> None:
+        """Sends a message to the daemon called `peer`.
+
+        Raises:
+            errors.PeerUnreachableError: The daemon is unknown, or its
+                connection takes no more.
+        """
+        path = self._paths.get(peer)
+        if path is not None and path.inward:
+            try:
+                self._send_inward(path.route, data)
+                path.used = True
+                return
+            except zmq.ZMQError:
+                # The peer closed its connection, so this end opens one.
+                self._forget_route(path)
+        if path is None or path.dealer is None:
+            path = self._open(peer)
+        path.used = True
+        self._send_outward(peer, path.dealer, data)
+
+    def answer(self, peer: str, data: bytes, way: Way) -> None:
+        """Sends a message back over the connection that another came by.
+
+        A connection that is closed by now takes nothing; the peer asks again.
+        """
+        path = self._paths.get(peer)
+        try:
+            if way is not None:
+                self._send_inward(way, data)
+            elif path is not None and path.dealer is not None:
+                path.dealer.send(data, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return
+
+    def adopt(self, peer: str, way: Way) -> None:
+        """Uses the connection that the peer has gone over to."""
+        path = self._paths.get(peer)
+        if path is not None:
+            path.inward = way is not None and way == path.route
+
+    def reopen(self, peer: str) -> None:
+        """Drops the connections to a peer and opens a new one.
+
+        Raises:
+            errors.PeerUnreachableError: The daemon is unknown.
+        """
+        self.drop(peer)
+        self._open(peer)
+
+    def drop(self, peer: str) -> None:
+        """Closes the connection to a peer and forgets the one from it."""
+        path = self._paths.pop(peer, None)
+        if path is None:
+            return
+        self._forget_route(path)
+        if path.dealer is not None:
+            self._close(path.dealer)
+        metrics.PEER_CONNECTIONS.set(len(self._paths))
+
+    def sweep(self, busy: collections.abc.Container[str]) -> None:
+        """Closes what was not used since the last sweep.
+
+        Args:
+            busy: Peers whose connections are kept.
+        """
+        for peer, path in list(self._paths.items()):
+            if path.used or peer in busy:
+                path.used = False
+            else:
+                self.drop(peer)
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for peer in list(self._paths):
+            self.drop(peer)
+        for socket in (self._router, self._monitor):
+            if socket is not None:
+                self._loop.remove_reader(socket.fd)
+        self._authenticator.stop()
+        self._router.disable_monitor()
+        self._router.close(linger=0)
+        if self._monitor is not None:
+            self._monitor.close(linger=0)
+        self._context.term()
+
+    def _send_inward(self, route: Way, data: bytes) -> None:
+        self._router.send_multipart((route, data), zmq.NOBLOCK)
+        self._reschedule(self._router, self._drain_router)
+
+    def _send_outward(self, peer: str, socket: zmq.Socket, data: bytes) -> None:
+        try:
+            socket.send(data, zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            raise errors.PeerUnreachableError(
+                f"daemon {peer!r} takes no more ({error}): choose another"
+            ) from error
+        self._reschedule(socket, self._drain_dealer, peer, socket)
+
+    def _reschedule(self, socket: zmq.Socket, drain, *args) -> None:
+        # The descriptor signals only changes, and a send may swallow one.
+        if socket.events & zmq.POLLIN:
+            self._loop.call_soon(drain, *args)
+
+    def _create_socket(self, kind: int) -> zmq.Socket:
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = _QUEUED_MESSAGES
+        socket.set(zmq.MAXMSGSIZE, codec.LARGEST_MESSAGE_BYTES)
+        socket.set(zmq.HANDSHAKE_IVL, _HANDSHAKE_MS)
+        socket.set(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        socket.set(zmq.RECONNECT_IVL_MAX, _RECONNECT_MOST_MS)
+        socket.set(zmq.TCP_KEEPALIVE, 1)
+        socket.set(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_IDLE_S)
+        socket.set(zmq.TCP_KEEPALIVE_INTVL, _KEEPALIVE_INTERVAL_S)
+        socket.set(zmq.TCP_KEEPALIVE_CNT, _KEEPALIVE_COUNT)
+        socket.curve_secretkey = self._keys.secret.encode()
+        socket.curve_publickey = self._keys.public.encode()
+        return socket
+
+    def _open(self, peer: str) -> _Path:
+        record = self._directory.get(peer)
+        if not record:
+            raise errors.PeerUnreachableError(
+                f"daemon {peer!r} is not known: choose another"
+            )
+        path = self._paths.setdefault(peer, _Path())
+        # The socket gets no name of its own: the peer knows it by its key, so
+        # that no daemon can claim another's name.
+        socket = self._create_socket(zmq.DEALER)
+        socket.curve_serverkey = record.public_key.encode()
+        socket.connect(f"tcp://{record.peer_address}")
+        self._loop.add_reader(socket.fd, self._drain_dealer, peer, socket)
+        path.dealer = socket
+        metrics.PEER_CONNECTIONS.set(len(self._paths))
+        return path
+
+    def _close(self, socket: zmq.Socket) -> None:
+        self._loop.remove_reader(socket.fd)
+        socket.close(linger=0)
+
+    def _forget_route(self, path: _Path) -> None:
+        if path.route is not None:
+            self._peers.pop(path.route, None)
+        path.route = None
+        path.inward = False
+
+    def _drain_router(self) -> None:
+        router = self._router
+        for _ in range(_DRAIN_BATCH):
+            try:
+                route = router.recv(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            self._take_inward(route)
+        self._loop.call_soon(self._drain_router)
+
+    def _take_inward(self, route: bytes) -> None:
+        router = self._router
+        peer = self._peers.get(route)
+        if peer is None:
+            frame = router.recv(zmq.NOBLOCK, copy=False)
+            peer = self._learn(route, frame)
+            data = frame.bytes
+        else:
+            data = router.recv(zmq.NOBLOCK)
+        if router.rcvmore:
+            while router.rcvmore:
+                router.recv(zmq.NOBLOCK)
+            metrics.peer_refusals("garbled").inc()
+        elif peer is not None:
+            self._receive(peer, data, route)
+
+    def _learn(self, route: bytes, frame: zmq.Frame) -> str | None:
+        if route[:1] != _NAMED_BY_ROUTER:
+            metrics.peer_refusals("claimed-name").inc()
+            return None
+        peer = self._directory.name_of_key(frame.get("User-Id"))
+        if not isinstance(peer, str):
+            metrics.peer_refusals("unannounced-key").inc()
+            return None
+        path = self._paths.setdefault(peer, _Path())
+        if path.route is not None:
+            self._peers.pop(path.route, None)
+        path.route = route
+        path.inward = path.inward or path.dealer is None
+        self._peers[route] = peer
+        metrics.PEER_CONNECTIONS.set(len(self._paths))
+        return peer
+
+    def _drain_dealer(self, peer: str, socket: zmq.Socket) -> None:
+        for _ in range(_DRAIN_BATCH):
+            if socket.closed:
+                return
+            try:
+                data = socket.recv(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            self._receive(peer, data, None)
+        self._loop.call_soon(self._drain_dealer, peer, socket)
+
+    def _drain_monitor(self) -> None:
+        while self._monitor is not None:
+            try:
+                zmq.utils.monitor.recv_monitor_message(
+                    self._monitor, zmq.NOBLOCK
+                )
+            except zmq.ZMQError:
+                return
+            metrics.peer_refusals("handshake").inc()
+
+
+def create_connections(
+    directory: members.Directory, keys: peerkeys.KeyPair, receive: Receive
+) -> Connections:
+    """Returns the connections of the daemon that owns `directory`.
+
+    Args:
+        directory: Whom to connect to, and who is let in.
+        keys: This daemon's keys.
+        receive: Called with each message that arrives.
+    """
+    return Connections(directory, keys, receive)
--- a/src/savorybend/internal/forwarding.py
+++ b/src/savorybend/internal/forwarding.py
@@ -1,6 +1,7 @@
 """Passes calls to the daemon beside another backend server."""
 
 import asyncio
+import functools
 import hashlib
 import itertools
 import typing
@@ -8,7 +9,6 @@
 from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import errors
-from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import peers
 from savorybend.internal import timers
@@ -18,41 +18,51 @@
 class _Pending:
     """A call that another daemon has."""
 
-    def __init__(self, peer: str, answer: asyncio.Future):
+    __slots__ = ("answer", "body", "call", "digest", "expiry", "length")
+    __slots__ += ("peer", "pump", "window")
+
+    def __init__(self, peer: str, call: calls.Call, answer: asyncio.Future):
         self.peer = peer
+        self.call = call
         self.answer = answer
-        self.window = bodies.Window()
+        self.expiry: timers.Subscription | None = None
+        self.pump: asyncio.Task | None = None
+        self.window: bodies.Window | None = None
         self.body: bodies.PipedBody | None = None
-        self.digest = hashlib.blake2b()
+        self.digest: typing.Any = None
         self.length = 0
 
     def fail(self, error: Exception) -> None:
         """Ends the call with an error."""
-        self.window.close()
         if self.body is not None:
             self.body.fail(error)
         if not self.answer.done():
             self.answer.set_exception(error)
 
+    def end(self) -> None:
+        """Ends what runs on behalf of the call."""
+        if self.expiry is not None:
+            self.expiry.cancel()
+        if self.pump is not None:
+            self.pump.cancel()
+
 
 class Forwarder:
     """Sends calls to peers and gathers the answers."""
 
     def __init__(
-        self,
-        transport: peers.Transport,
-        clock: timers.Clock,
-        directory: members.Directory,
+        self, transport: peers.Transport, timer_service: timers.TimerService
     ):
         self._transport = transport
-        self._clock = clock
+        self._timers = timer_service
+        self._clock = timer_service.clock
         self._loop = asyncio.get_running_loop()
         self._streams = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         transport.subscribe(wire.AnswerStart, self._on_start)
         transport.subscribe(wire.AnswerChunk, self._on_chunk)
         transport.subscribe(wire.CallCredit, self._on_credit)
-        directory.subscribe(self._on_change)
+        transport.subscribe_breaks(self._on_break)
 
     def target(self, peer: str) -> calls.Target:
         """Returns the daemon called `peer` as the target of a call."""
@@ -67,36 +77,27 @@
         `unknown` where it was and the peer vanished.
         """
         stream = next(self._streams)
-        pending = _Pending(peer, self._loop.create_future())
-        self._pending[stream] = pending
+        pending = _Pending(peer, call, self._loop.create_future())
         try:
             self._start(stream, peer, call, body)
         except errors.PeerUnreachableError as error:
-            self._forget(stream)
             return calls.not_run(
                 outcomes.refuse(outcomes.NO_BACKEND_SERVER, str(error)),
                 call.request_id,
                 self._transport.name,
             )
-        pump = None
-        if body.whole is None:
-            pump = asyncio.create_task(self._pump(stream, pending, body))
-        try:
-            return await self._gather(stream, pending, call)
-        finally:
-            if pump is not None:
-                pump.cancel()
-
-    async def _gather(
-        self, stream: int, pending: _Pending, call: calls.Call
-    ) -> calls.Answer:
+        self._pending[stream] = pending
         left_s = call.deadline_s - self._clock.now_s()
+        pending.expiry = self._timers.after(
+            left_s, functools.partial(self._expire, stream)
+        )
+        if body.whole is None:
+            pending.window = bodies.Window()
+            pending.pump = asyncio.create_task(
+                self._pump(stream, pending, body)
+            )
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                return await pending.answer
-        except TimeoutError:
-            self._cancel(stream)
-            return self._unknown(call, outcomes.TOO_LATE)
+            return await pending.answer
         except errors.AnswerLostError:
             self._forget(stream)
             return self._unknown(call, outcomes.ANSWER_LOST)
@@ -104,6 +105,22 @@
             self._cancel(stream)
             raise
 
+    def _expire(self, stream: int) -> None:
+        pending = self._cancel(stream)
+        if pending is None:
+            return
+        if pending.answer.done():
+            pending.fail(
+                errors.AnswerLostError(
+                    "the deadline passed before the end of the answer: give "
+                    "the request a longer timeout"
+                )
+            )
+            return
+        pending.answer.set_result(
+            self._unknown(pending.call, outcomes.TOO_LATE)
+        )
+
     def _start(
         self, stream: int, peer: str, call: calls.Call, body: bodies.Body
     ) -> None:
@@ -140,6 +157,7 @@
                 pending.peer, wire.CallChunk(stream, b"", True)
             )
         except (errors.SavorybendError, OSError) as error:
+            pending.pump = None
             self._cancel(stream)
             pending.fail(errors.AnswerLostError(f"body not sent: {error}"))
 
@@ -148,6 +166,7 @@
         if pending is None or pending.answer.done():
             return
         head = message.head
+        outcome = outcomes.Outcome(head.outcome)
         if message.last:
             body: bodies.Body = bodies.WholeBody(message.data)
             self._forget(message.stream)
@@ -157,7 +176,7 @@
             calls.Answer(
                 head.status,
                 head.headers,
-                outcomes.Outcome(head.outcome),
+                outcome,
                 head.reason,
                 head.retry_after_s,
                 head.decided_by,
@@ -177,7 +196,10 @@
             except errors.PeerUnreachableError as error:
                 pending.fail(errors.AnswerLostError(str(error)))
 
-        pending.body = bodies.PipedBody(grant)
+        pending.digest = hashlib.blake2b()
+        pending.body = bodies.PipedBody(
+            grant, functools.partial(self._cancel, stream)
+        )
         return pending.body
 
     def _on_chunk(self, peer: str, message: wire.AnswerChunk) -> None:
@@ -206,22 +228,18 @@
 
     def _on_credit(self, peer: str, message: wire.CallCredit) -> None:
         pending = self._find(peer, message.stream)
-        if pending is not None:
+        if pending is not None and pending.window is not None:
             pending.window.grant(message.size)
 
-    def _on_change(self, change: members.Change) -> None:
-        match change:
-            case members.Gone(record=record):
-                lost = errors.AnswerLostError(
-                    f"daemon {record.name!r} is gone: ask about the request "
-                    "by its ID"
-                )
-                for stream, pending in list(self._pending.items()):
-                    if pending.peer == record.name:
-                        self._forget(stream)
-                        pending.fail(lost)
-            case _:
-                pass
+    def _on_break(self, peer: str) -> None:
+        lost = errors.AnswerLostError(
+            f"the connection to daemon {peer!r} is lost: ask about the "
+            "request by its ID"
+        )
+        for stream, pending in list(self._pending.items()):
+            if pending.peer == peer:
+                self._forget(stream)
+                pending.fail(lost)
 
     def _find(self, peer: str, stream: int) -> _Pending | None:
         pending = self._pending.get(stream)
@@ -230,18 +248,22 @@
             return None
         return pending
 
-    def _cancel(self, stream: int) -> None:
+    def _cancel(self, stream: int) -> _Pending | None:
         pending = self._forget(stream)
         if pending is None:
-            return
+            return None
         try:
             self._transport.send(pending.peer, wire.CallCancel(stream))
         except errors.PeerUnreachableError:
-            # Its daemon drops the call with the connection.
-            return
+            # Its daemon drops the call with the link.
+            return pending
+        return pending
 
     def _forget(self, stream: int) -> _Pending | None:
-        return self._pending.pop(stream, None)
+        pending = self._pending.pop(stream, None)
+        if pending is not None:
+            pending.end()
+        return pending
 
     def _unknown(
         self, call: calls.Call, reason: outcomes.Reason
@@ -268,9 +290,7 @@
 
 
 def create_forwarder(
-    transport: peers.Transport,
-    clock: timers.Clock,
-    directory: members.Directory,
+    transport: peers.Transport, timer_service: timers.TimerService
 ) -> Forwarder:
     """Returns a forwarder over `transport`."""
-    return Forwarder(transport, clock, directory)
+    return Forwarder(transport, timer_service)
--- a/src/savorybend/internal/httpanswers.py
+++ b/src/savorybend/internal/httpanswers.py
@@ -30,8 +30,8 @@
     response = web.StreamResponse(status=answer.status)
     _set_headers(response, answer, request_id)
     response.content_length = answer.body.length
-    await response.prepare(request)
     try:
+        await response.prepare(request)
         while data := await answer.body.read():
             await response.write(data)
         await response.write_eof()
@@ -39,9 +39,7 @@
         if request.transport is not None:
             request.transport.abort()
     except (asyncio.CancelledError, ConnectionError):
-        abandon = getattr(answer.body, "abandon", None)
-        if abandon is not None:
-            abandon()
+        answer.body.abandon()
         raise
     return response
 
--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -57,6 +57,22 @@
     "Connections and messages of other daemons that were refused.",
     ("cause",),
 )
+PEER_CONNECTIONS = prometheus_client.Gauge(
+    "savorybend_peer_connections",
+    "Daemons with which this daemon has a connection open.",
+)
+SILENT_CONNECTIONS = prometheus_client.Counter(
+    "savorybend_silent_connections",
+    "Connections to daemons that were replaced because they went silent.",
+)
+RESENT = prometheus_client.Counter(
+    "savorybend_peer_messages_resent",
+    "Messages sent again over a connection that replaced a silent one.",
+)
+ABANDONED = prometheus_client.Counter(
+    "savorybend_peer_links_abandoned",
+    "Times that messages to a daemon were given up with the calls they carry.",
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "savorybend_configuration_version",
     "Version of the configuration in force.",
--- a/src/savorybend/internal/peers.py
+++ b/src/savorybend/internal/peers.py
@@ -1,224 +1,294 @@
-"""Connections between daemons: ZeroMQ, encrypted, opened on demand.
+"""Sends messages to daemons and hands on those that arrive.
 
-Each daemon binds one ROUTER socket; a DEALER is opened to a peer with the
-first message to it, and the peer answers over the same connection, so that a
-pair has one connection. Sockets are drained from the loop's reader without
-futures, which cost more than the messages themselves.
+Messages of calls go over a link, which keeps them until the peer has them
+and sends them again over a new connection when the one in use goes silent.
+All other messages are sent once: their senders repeat what still matters.
 """
 
-import asyncio
 import collections.abc
 import typing
 
-import zmq
-import zmq.auth.asyncio
-
+from savorybend.internal import connections
 from savorybend.internal import errors
+from savorybend.internal import links
 from savorybend.internal import logs
 from savorybend.internal import members
 from savorybend.internal import metrics
+from savorybend.internal import peerkeys
+from savorybend.internal import silence
+from savorybend.internal import timers
+from savorybend.internal.wire import calls
 from savorybend.internal.wire import codec
+from savorybend.internal.wire import links as wire
+
+_TICK_S = links.RECEIPT_AFTER_S
+# A connection costs 30 KB at each end, a new one half a millisecond.
+_SWEEP_S = 60.0
 
-# After so many messages the loop runs other work before it drains on.
-_DRAIN_BATCH = 64
-_HEARTBEAT_MS = 1000
-_SILENT_MS = 3000
-_ZAP_DOMAIN = "savorybend"
+_KEPT_KINDS = frozenset(typing.get_args(calls.Message))
 
 Handler = collections.abc.Callable[[str, typing.Any], None]
+BreakListener = collections.abc.Callable[[str], None]
 
 _log = logs.get()
 
 
-class KeyPair(typing.NamedTuple):
-    """A daemon's CURVE keys, in Z85; made at start and never stored."""
-
-    public: str
-    secret: str
-
-
-def create_key_pair() -> KeyPair:
-    """Returns new random keys."""
-    public, secret = zmq.curve_keypair()
-    return KeyPair(public.decode(), secret.decode())
-
-
-class _Announced:
-    """Lets in the keys that daemons have announced."""
-
-    def __init__(self, directory: members.Directory):
-        self._directory = directory
-
-    def callback(self, domain: str, key: bytes) -> bool:
-        """Returns whether a connection with this key is let in."""
-        known = bool(self._directory.name_of_key(key.decode()))
-        if not known:
-            metrics.peer_refusals("unannounced-key").inc()
-        return known
-
-
 class Transport:
-    """Sends messages to daemons and hands on those that arrive."""
+    """The messages that one daemon exchanges with the others."""
 
-    def __init__(self, directory: members.Directory, keys: KeyPair):
+    def __init__(
+        self, directory: members.Directory, timer_service: timers.TimerService
+    ):
         self._directory = directory
-        self._keys = keys
-        self._loop = asyncio.get_running_loop()
-        self._context = zmq.Context()
+        self._timers = timer_service
         self._handlers: dict[type, Handler] = {}
-        self._dealers: dict[str, tuple[int, zmq.Socket]] = {}
-        self._inbound: set[str] = set()
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            self._context
-        )
-        self._router = self._create_socket(zmq.ROUTER)
+        self._break_listeners: list[BreakListener] = []
+        self._links: dict[str, links.Link] = {}
+        # Peers whose links wait for a receipt or owe one.
+        self._active: set[str] = set()
+        self._ticking = False
+        self._connections: connections.Connections | None = None
         directory.subscribe(self._on_change)
+        timer_service.every(_SWEEP_S, self._sweep)
 
     @property
     def name(self) -> str:
         """The name of this daemon."""
         return self._directory.own.name
 
+    @property
+    def waiting(self) -> int:
+        """Messages that peers haven't received yet."""
+        return sum(self._links[peer].waiting for peer in self._active)
+
+    def use(self, opened: connections.Connections) -> None:
+        """Sends over these connections from now on."""
+        self._connections = opened
+
     def bind(self, address: str) -> None:
         """Takes connections at `IP:PORT`."""
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(
-            _ZAP_DOMAIN, _Announced(self._directory)
-        )
-        self._router.curve_server = True
-        self._router.zap_domain = _ZAP_DOMAIN.encode()
-        self._router.curve_secretkey = self._keys.secret.encode()
-        self._router.curve_publickey = self._keys.public.encode()
-        self._router.set(zmq.ROUTER_MANDATORY, 1)
-        self._router.set(zmq.ROUTER_HANDOVER, 1)
-        self._router.bind(f"tcp://{address}")
-        self._loop.add_reader(self._router.fd, self._drain_router)
+        self._connections.bind(address)
 
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Calls `handler(peer, message)` for each message of a kind."""
         self._handlers[kind] = handler
 
+    def subscribe_breaks(self, listener: BreakListener) -> None:
+        """Calls `listener(peer)` when messages of calls are lost for good."""
+        self._break_listeners.append(listener)
+
     def send(self, peer: str, message: codec.Message) -> None:
         """Sends a message to the daemon called `peer`.
 
         Raises:
-            errors.PeerUnreachableError: The daemon is unknown, or its
-                connection takes no more.
+            errors.PeerUnreachableError: The message was not sent and won't
+                be: the daemon is unknown, or its connection takes no more.
         """
-        data = codec.encode(message)
-        try:
-            self._send(peer, data)
-        except zmq.ZMQError as error:
-            self._inbound.discard(peer)
-            raise errors.PeerUnreachableError(
-                f"daemon {peer!r} can't be reached ({error}): choose another"
-            ) from error
+        if type(message) in _KEPT_KINDS:
+            self._send_kept(peer, message)
+        else:
+            self._connections.send(peer, codec.encode(message))
         metrics.SENT.inc()
 
     def close(self) -> None:
         """Closes every connection."""
-        for peer in list(self._dealers):
-            self._drop(peer)
-        self._loop.remove_reader(self._router.fd)
-        self._authenticator.stop()
-        self._router.close(linger=0)
-        self._context.term()
-
-    def _send(self, peer: str, data: bytes) -> None:
-        found = self._dealers.get(peer)
-        if found is None and peer in self._inbound:
-            self._router.send_multipart((peer.encode(), data), zmq.NOBLOCK)
-            self._reschedule(self._router, self._drain_router)
+        self._connections.close()
+
+    def receive(self, peer: str, data: bytes, way: connections.Way) -> None:
+        """Takes a message that arrived over a connection."""
+        metrics.RECEIVED.inc()
+        try:
+            message = codec.decode(data)
+        except errors.InvalidMessageError as error:
+            self._refuse(peer, "garbled", error)
             return
-        _, socket = found or self._open(peer)
-        socket.send(data, zmq.NOBLOCK)
-        self._reschedule(socket, self._drain_dealer, peer, socket)
-
-    def _reschedule(self, socket: zmq.Socket, drain, *args) -> None:
-        # The descriptor signals only changes, and a send may swallow one.
-        if socket.events & zmq.POLLIN:
-            self._loop.call_soon(drain, *args)
-
-    def _create_socket(self, kind: int) -> zmq.Socket:
-        socket = self._context.socket(kind)
-        socket.linger = 0
-        socket.set(zmq.MAXMSGSIZE, codec.LARGEST_MESSAGE_BYTES)
-        socket.set(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
-        socket.set(zmq.HEARTBEAT_TIMEOUT, _SILENT_MS)
-        socket.set(zmq.HEARTBEAT_TTL, _SILENT_MS)
-        return socket
-
-    def _open(self, peer: str) -> tuple[int, zmq.Socket]:
-        record = self._directory.get(peer)
-        if not record:
+        match message:
+            case wire.Numbered():
+                self._on_numbered(peer, message, way)
+            case wire.Receipt():
+                self._on_receipt(peer, message)
+            case wire.Sync():
+                self._on_sync(peer, message, way)
+            case _:
+                self._hand_on(peer, message)
+
+    def _send_kept(self, peer: str, message: calls.Message) -> None:
+        link = self._link(peer)
+        if link is None or not self._directory.get(peer):
             raise errors.PeerUnreachableError(
                 f"daemon {peer!r} is not known: choose another"
             )
-        socket = self._create_socket(zmq.DEALER)
-        socket.routing_id = self._directory.own.name.encode()
-        socket.curve_serverkey = record.public_key.encode()
-        socket.curve_secretkey = self._keys.secret.encode()
-        socket.curve_publickey = self._keys.public.encode()
-        socket.connect(f"tcp://{record.peer_address}")
-        self._loop.add_reader(socket.fd, self._drain_dealer, peer, socket)
-        self._dealers[peer] = (record.incarnation, socket)
-        return self._dealers[peer]
-
-    def _drop(self, peer: str) -> None:
-        _, socket = self._dealers.pop(peer)
-        self._loop.remove_reader(socket.fd)
-        socket.close(linger=0)
+        if link.full and isinstance(message, calls.CallStart):
+            raise errors.PeerUnreachableError(
+                f"daemon {peer!r} has not received {links.KEPT_BYTES} bytes "
+                "yet: choose another"
+            )
+        data = link.add(message)
+        self._watch(peer)
+        try:
+            self._connections.send(peer, data)
+        except errors.PeerUnreachableError:
+            # The link has it, and sends it again when the peer asks.
+            return
+
+    def _link(self, peer: str) -> links.Link | None:
+        link = self._links.get(peer)
+        if link is not None:
+            return link
+        record = self._directory.get(peer)
+        if not record:
+            return None
+        link = links.create_link(record.public_key)
+        self._links[peer] = link
+        return link
+
+    def _on_numbered(
+        self, peer: str, message: wire.Numbered, way: connections.Way
+    ) -> None:
+        link = self._link(peer)
+        if link is None:
+            return
+        link.settle(message.received)
+        arrival = link.arrived(message.number)
+        self._watch(peer)
+        match arrival:
+            case links.Next():
+                self._hand_on(peer, message.message)
+            case links.Early():
+                asked = link.ask_resend()
+                if asked is not None:
+                    self._connections.answer(peer, asked, way)
+            case links.Repeated():
+                pass
+
+    def _on_receipt(self, peer: str, message: wire.Receipt) -> None:
+        link = self._link(peer)
+        if link is None:
+            return
+        link.settle(message.received)
+        link.watch.answered(self._timers.clock.now_s())
+        if message.resend:
+            self._resend(peer, link, message.received)
+
+    def _on_sync(
+        self, peer: str, message: wire.Sync, way: connections.Way
+    ) -> None:
+        link = self._link(peer)
+        if link is None:
+            return
+        # The peer asks over the connection that it has gone over to; the
+        # other one may be silent without this end having noticed.
+        self._connections.adopt(peer, way)
+        if link.skip_to(message.first):
+            self._broken(peer)
+        resend = not link.has_all(message.last)
+        self._connections.answer(peer, link.receipt(resend), way)
+
+    def _resend(self, peer: str, link: links.Link, received: int) -> None:
+        try:
+            if link.lost_after(received):
+                # The peer must learn that it waits for some in vain.
+                self._connections.send(peer, link.sync())
+            for data in link.waiting_data():
+                self._connections.send(peer, data)
+                metrics.RESENT.inc()
+        except errors.PeerUnreachableError as error:
+            _log.info("resend_stopped", peer=peer, error=str(error))
+
+    def _watch(self, peer: str) -> None:
+        self._active.add(peer)
+        if not self._ticking:
+            self._ticking = True
+            self._timers.after(_TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        now_s = self._timers.clock.now_s()
+        for peer in list(self._active):
+            link = self._links[peer]
+            self._check(peer, link, now_s)
+            if not link.waiting and not link.owes_receipt:
+                self._active.discard(peer)
+        self._ticking = bool(self._active)
+        if self._ticking:
+            self._timers.after(_TICK_S, self._tick)
+
+    def _check(self, peer: str, link: links.Link, now_s: float) -> None:
+        try:
+            if link.owes_receipt:
+                self._connections.send(peer, link.receipt())
+            match link.watch.decide(now_s, link.oldest):
+                case silence.Probe():
+                    self._connections.send(peer, link.sync())
+                case silence.Reopen():
+                    self._reopen(peer, link)
+                case silence.GiveUp():
+                    self._abandon(peer, link)
+                case silence.Wait():
+                    pass
+        except errors.PeerUnreachableError as error:
+            _log.info("peer_unreachable", peer=peer, error=str(error))
+
+    def _reopen(self, peer: str, link: links.Link) -> None:
+        _log.warning("connection_silent", peer=peer, waiting=link.waiting)
+        metrics.SILENT_CONNECTIONS.inc()
+        self._connections.reopen(peer)
+        self._connections.send(peer, link.sync())
+
+    def _abandon(self, peer: str, link: links.Link) -> None:
+        _log.warning("link_abandoned", peer=peer, waiting=link.waiting)
+        metrics.ABANDONED.inc()
+        link.abandon()
+        self._broken(peer)
+
+    def _broken(self, peer: str) -> None:
+        for listener in self._break_listeners:
+            listener(peer)
 
     def _on_change(self, change: members.Change) -> None:
         record = change.record
-        found = self._dealers.get(record.name)
+        link = self._links.get(record.name)
+        if link is None:
+            return
         match change:
             case members.Gone():
-                stale = True
-                self._inbound.discard(record.name)
+                # The counters stay, in case the peer was only frozen.
+                link.abandon()
             case members.Joined():
-                stale = found is not None and found[0] != record.incarnation
-        if found is not None and stale:
-            self._drop(record.name)
-
-    def _drain_router(self) -> None:
-        for _ in range(_DRAIN_BATCH):
-            try:
-                peer, data = self._router.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            except ValueError:
-                metrics.peer_refusals("garbled").inc()
-                continue
-            name = peer.decode(errors="replace")
-            self._inbound.add(name)
-            self._hand_on(name, data)
-        self._loop.call_soon(self._drain_router)
-
-    def _drain_dealer(self, peer: str, socket: zmq.Socket) -> None:
-        for _ in range(_DRAIN_BATCH):
-            if socket.closed:
-                return
-            try:
-                data = socket.recv(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            self._hand_on(peer, data)
-        self._loop.call_soon(self._drain_dealer, peer, socket)
-
-    def _hand_on(self, peer: str, data: bytes) -> None:
-        metrics.RECEIVED.inc()
-        try:
-            message = codec.decode(data)
-        except errors.InvalidMessageError as error:
-            metrics.peer_refusals("garbled").inc()
-            _log.warning("message_refused", peer=peer, error=str(error))
-            return
+                if link.key == record.public_key:
+                    return
+                del self._links[record.name]
+                self._active.discard(record.name)
+        self._connections.drop(record.name)
+        self._broken(record.name)
+
+    def _sweep(self) -> None:
+        self._connections.sweep(self._active)
+
+    def _hand_on(self, peer: str, message: codec.Message) -> None:
         handler = self._handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(peer, message)
+        except Exception as error:  # noqa: BLE001
+            # One peer's nonsense must not stop what the others send.
+            self._refuse(peer, "mishandled", error)
+
+    def _refuse(self, peer: str, cause: str, error: Exception) -> None:
+        metrics.peer_refusals(cause).inc()
+        _log.warning(
+            "message_refused", peer=peer, cause=cause, error=str(error)
+        )
 
 
-def create_transport(directory: members.Directory, keys: KeyPair) -> Transport:
+def create_transport(
+    directory: members.Directory,
+    keys: peerkeys.KeyPair,
+    timer_service: timers.TimerService,
+) -> Transport:
     """Returns a transport for the daemon that owns `directory`."""
-    return Transport(directory, keys)
+    transport = Transport(directory, timer_service)
+    transport.use(
+        connections.create_connections(directory, keys, transport.receive)
+    )
+    return transport
--- a/src/savorybend/internal/receiving.py
+++ b/src/savorybend/internal/receiving.py
@@ -1,16 +1,19 @@
 """Takes calls from other daemons and sends the answers back."""
 
 import asyncio
+import functools
 import hashlib
 
 from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import errors
-from savorybend.internal import members
 from savorybend.internal import peers
 from savorybend.internal import timers
 from savorybend.internal.wire import calls as wire
 
+# The target answers a late call itself, so it is given the time to.
+_GRACE_S = 1.0
+
 _Key = tuple[str, int]
 
 
@@ -21,6 +24,12 @@
         self.body = body
         self.window = bodies.Window()
         self.task: asyncio.Task | None = None
+        self.expiry: timers.Subscription | None = None
+
+    def end(self) -> None:
+        """Ends the wait for the deadline."""
+        if self.expiry is not None:
+            self.expiry.cancel()
 
 
 class Receiver:
@@ -29,19 +38,19 @@
     def __init__(
         self,
         transport: peers.Transport,
-        clock: timers.Clock,
+        timer_service: timers.TimerService,
         target: calls.Target,
-        directory: members.Directory,
     ):
         self._transport = transport
-        self._clock = clock
+        self._timers = timer_service
+        self._clock = timer_service.clock
         self._target = target
         self._incoming: dict[_Key, _Incoming] = {}
         transport.subscribe(wire.CallStart, self._on_start)
         transport.subscribe(wire.CallChunk, self._on_chunk)
         transport.subscribe(wire.CallCancel, self._on_cancel)
         transport.subscribe(wire.AnswerCredit, self._on_credit)
-        directory.subscribe(self._on_change)
+        transport.subscribe_breaks(self._on_break)
 
     @property
     def in_flight(self) -> int:
@@ -59,6 +68,10 @@
             body = bodies.PipedBody(lambda size: self._grant(key, size))
         incoming = _Incoming(body)
         self._incoming[key] = incoming
+        incoming.expiry = self._timers.after(
+            message.head.timeout_s + _GRACE_S,
+            functools.partial(self._expire, key),
+        )
         incoming.task = asyncio.create_task(
             self._run(key, incoming, message.head)
         )
@@ -76,20 +89,21 @@
     def _on_cancel(self, peer: str, message: wire.CallCancel) -> None:
         self._cancel((peer, message.stream))
 
-    def _on_change(self, change: members.Change) -> None:
-        match change:
-            case members.Gone(record=record):
-                for key in list(self._incoming):
-                    if key[0] == record.name:
-                        self._cancel(key)
-            case _:
-                pass
+    def _on_break(self, peer: str) -> None:
+        for key in list(self._incoming):
+            if key[0] == peer:
+                self._cancel(key)
 
     def _cancel(self, key: _Key) -> None:
         incoming = self._incoming.pop(key, None)
         if incoming is not None and incoming.task is not None:
             incoming.task.cancel()
 
+    def _expire(self, key: _Key) -> None:
+        # The target ends a call that is late; this ends the body of an answer
+        # whose reader has stopped reading.
+        self._cancel(key)
+
     def _grant(self, key: _Key, size: int) -> None:
         peer, stream = key
         try:
@@ -107,6 +121,7 @@
             # The caller's daemon is gone; it asks by ID when it is back.
             return
         finally:
+            incoming.end()
             self._incoming.pop(key, None)
 
     def _call(self, head: wire.CallHead) -> calls.Call:
@@ -144,8 +159,14 @@
         whole = data is not None
         message = wire.AnswerStart(stream, head, data or b"", whole)
         self._transport.send(peer, message)
-        if not whole:
+        if whole:
+            return
+        try:
             await self._stream(key, incoming.window, answer.body)
+        except BaseException:
+            # The backend server's slot is held until the body is over.
+            answer.body.abandon()
+            raise
 
     async def _stream(
         self, key: _Key, window: bodies.Window, body: bodies.Body
@@ -172,9 +193,8 @@
 
 def create_receiver(
     transport: peers.Transport,
-    clock: timers.Clock,
+    timer_service: timers.TimerService,
     target: calls.Target,
-    directory: members.Directory,
 ) -> Receiver:
     """Returns a receiver that gives calls to `target`."""
-    return Receiver(transport, clock, target, directory)
+    return Receiver(transport, timer_service, target)
--- a/src/savorybend/internal/settings.py
+++ b/src/savorybend/internal/settings.py
@@ -35,6 +35,7 @@
     call_address: Address
     local_address: Address
     peer_address: Address
+    peer_announce: Address | None
     admin_address: Address
     platform_url: str
     seeds: tuple[Address, ...]
@@ -77,6 +78,10 @@
     return Address(host.strip("[]"), number)
 
 
+def _parse_optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
 def _parse_name(text: str) -> str:
     if not _NAME.fullmatch(text):
         raise ValueError("use a-z, 0-9 and '-', at most 63 characters")
@@ -136,6 +141,12 @@
         "where this VM's backend server announces itself and calls out",
     ),
     _Setting("peer_address", parse_address, None, "where daemons connect"),
+    _Setting(
+        "peer_announce",
+        _parse_optional_address,
+        "",
+        "where daemons are told to connect, if not at the peer address",
+    ),
     _Setting(
         "admin_address", parse_address, None, "metrics, health and operators"
     ),
--- a/src/savorybend/internal/wire/calls.py
+++ b/src/savorybend/internal/wire/calls.py
@@ -1,7 +1,15 @@
 """Messages that carry a call to the daemon beside a backend server."""
 
+import typing
+
 import msgspec
 
+# A window is never granted in larger steps; a peer that claims more is not
+# one of ours.
+LARGEST_CREDIT_BYTES = 1_048_576
+
+_Size = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_CREDIT_BYTES)]
+
 
 class CallHead(msgspec.Struct, frozen=True, array_like=True):
     """A call without its body; see `calls.Call`.
@@ -54,7 +62,7 @@
     """The receiver has room for so many more bytes of a call's body."""
 
     stream: int
-    size: int
+    size: _Size
 
 
 class CallCancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
@@ -107,7 +115,7 @@
     """The caller's daemon has room for so many more bytes of the answer."""
 
     stream: int
-    size: int
+    size: _Size
 
 
 Message = (
--- a/src/savorybend/internal/wire/codec.py
+++ b/src/savorybend/internal/wire/codec.py
@@ -5,10 +5,17 @@
 from savorybend.internal import errors
 from savorybend.internal.wire import calls
 from savorybend.internal.wire import limits
+from savorybend.internal.wire import links
 from savorybend.internal.wire import membership
 from savorybend.internal.wire import requests
 
-Message = calls.Message | limits.Message | membership.Message | requests.Message
+Message = (
+    calls.Message
+    | limits.Message
+    | links.Message
+    | membership.Message
+    | requests.Message
+)
 
 # A chunk of a body and its head fit with room to spare; anything larger comes
 # from no daemon of ours.
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -179,12 +179,17 @@
     return digest.hexdigest(), size
 
 
+def part_at(start):
+    """Returns the part of a large answer that begins at a byte."""
+    return start.to_bytes(8, "big") * (_CHUNK // 8)
+
+
 async def _stream(request, size):
     response = web.StreamResponse()
     response.content_length = size
     await response.prepare(request)
     for start in range(0, size, _CHUNK):
-        await response.write(b"x" * min(_CHUNK, size - start))
+        await response.write(part_at(start)[: size - start])
     await response.write_eof()
     return response
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -13,6 +13,8 @@
 
 import aiohttp
 
+from standins import proxy
+
 FLEET_SECRET = "a-fleet-secret-for-tests"
 ADMIN_KEY = "an-admin-key-for-tests"
 
@@ -79,6 +81,7 @@
         self.platform = self.book.next()
         self.workers: dict[str, Worker] = {}
         self.addresses: dict[str, Addresses] = {}
+        self.proxies: dict[str, proxy.Proxy] = {}
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self):
@@ -88,11 +91,12 @@
         )
         await self._wait_for(self.platform, "/control")
 
-    async def add(self, workers, **settings: str):
+    async def add(self, workers, *, proxied: bool = False, **settings: str):
         """Starts workers, and waits until their daemons listen.
 
         Args:
             workers: What to start.
+            proxied: Whether other daemons reach them through `proxies`.
             settings: Environment variables of the daemons, by the part of
                 their names after SAVORYBEND_.
         """
@@ -101,12 +105,22 @@
             self.addresses[worker.name] = Addresses(
                 *(self.book.next() for _ in Addresses._fields)
             )
-            self._settings[worker.name] = settings
+            self._settings[worker.name] = dict(settings)
+            if proxied:
+                await self._start_proxy(worker.name)
             await self.start_daemon(worker.name)
             await self.start_backend(worker.name)
         for worker in workers:
             await self.wait_listening(worker.name)
 
+    async def _start_proxy(self, name):
+        announced = self.book.next()
+        ends = (announced, self.addresses[name].peer)
+        listen, target = (end.rpartition(":")[::2] for end in ends)
+        self.proxies[name] = proxy.Proxy(listen, target)
+        await self.proxies[name].start()
+        self._settings[name]["PEER_ANNOUNCE"] = announced
+
     async def start_daemon(self, name):
         """Starts a worker's daemon, again if it has ended."""
         worker, at = self.workers[name], self.addresses[name]
@@ -238,6 +252,8 @@
 
     async def stop(self):
         """Ends every process that this site started."""
+        for link in self.proxies.values():
+            await link.stop()
         for process in self._processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/unit/test_links.py
@@ -0,0 +1,234 @@
+"""Messages of calls arrive once and in order, whatever connections do."""
+
+import collections
+import itertools
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+
+from savorybend.internal import links
+from savorybend.internal import members
+from savorybend.internal import peers
+from savorybend.internal import silence
+from savorybend.internal import timers
+from savorybend.internal.wire import calls
+from tests import fakes
+
+_TICK_S = 0.1
+_NAMES = ("one", "two")
+# Long enough for a silent connection to be found and replaced several times.
+_SETTLE_TICKS = 100
+
+
+def _record(name):
+    fields = ("east", "back", "call", "peer", "admin", f"key-{name}")
+    return members.Record(name, 1, *fields)
+
+
+class _Network:
+    """Connections as lists of messages under way, by sender."""
+
+    def __init__(self):
+        self.ends = {}
+        self.current = {}
+        self.numbers = itertools.count(1)
+        self.under_way = collections.defaultdict(list)
+        self.silent = set()
+
+    def create_end(self, name):
+        return _End(self, name)
+
+    def open(self, name):
+        self.current[name] = next(self.numbers)
+
+    def put(self, name, way, data):
+        if (name, way) not in self.silent:
+            self.under_way[name, way].append(data)
+
+    def deliver(self, key, index, keep):
+        sender, way = key
+        data = self.under_way[key][index]
+        if not keep:
+            del self.under_way[key][index]
+        if not self.under_way[key]:
+            del self.under_way[key]
+        receiver = _NAMES[1 - _NAMES.index(sender)]
+        self.current.setdefault(receiver, way)
+        self.ends[receiver].receive(sender, data, way)
+
+
+class _End:
+    """What a transport sees of the network."""
+
+    def __init__(self, network, name):
+        self._network = network
+        self._name = name
+
+    def send(self, peer, data):
+        if self._name not in self._network.current:
+            self._network.open(self._name)
+        way = self._network.current[self._name]
+        self._network.put(self._name, way, data)
+
+    def answer(self, peer, data, way):
+        self._network.put(self._name, way, data)
+
+    def adopt(self, peer, way):
+        self._network.current[self._name] = way
+
+    def reopen(self, peer):
+        self._network.open(self._name)
+
+    def drop(self, peer):
+        self._network.current.pop(self._name, None)
+
+    def sweep(self, busy):
+        pass
+
+
+class Exchange(stateful.RuleBasedStateMachine):
+    """Two transports over connections that lose, repeat and reorder."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = fakes.create_clock()
+        self.timers = timers.create_manual_timer_service(self.clock)
+        self.network = _Network()
+        self.sent = {name: [] for name in _NAMES}
+        self.seen = {name: [] for name in _NAMES}
+        self.broken = []
+        for name in _NAMES:
+            directory = members.create_directory(_record(name))
+            for other in _NAMES:
+                directory.put(_record(other))
+            end = peers.Transport(directory, self.timers)
+            end.use(self.network.create_end(name))
+            end.subscribe(calls.CallCancel, self._keep(name))
+            end.subscribe_breaks(self.broken.append)
+            self.network.ends[name] = end
+
+    def _keep(self, name):
+        return lambda peer, message: self.seen[name].append(message.stream)
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES))
+    def send(self, name):
+        number = len(self.sent[name])
+        self.sent[name].append(number)
+        other = _NAMES[1 - _NAMES.index(name)]
+        self.network.ends[name].send(other, calls.CallCancel(number))
+
+    @stateful.precondition(lambda self: self.network.under_way)
+    @stateful.rule(data=strategies.data(), keep=strategies.booleans())
+    def deliver(self, data, keep):
+        key = data.draw(strategies.sampled_from(list(self.network.under_way)))
+        most = len(self.network.under_way[key]) - 1
+        self.network.deliver(key, data.draw(strategies.integers(0, most)), keep)
+
+    @stateful.precondition(lambda self: self.network.current)
+    @stateful.rule(data=strategies.data(), name=strategies.sampled_from(_NAMES))
+    def go_silent(self, data, name):
+        ways = sorted(set(self.network.current.values()))
+        way = data.draw(strategies.sampled_from(ways))
+        self.network.silent.add((name, way))
+        self.network.under_way.pop((name, way), None)
+
+    @stateful.rule(ticks=strategies.integers(1, 20))
+    def wait(self, ticks):
+        for _ in range(ticks):
+            self.clock.advance(_TICK_S)
+            self.timers.run_due()
+
+    @stateful.invariant()
+    def nothing_is_seen_twice_or_out_of_order(self):
+        for name, other in (_NAMES, _NAMES[::-1]):
+            seen = self.seen[other]
+            assert seen == self.sent[name][: len(seen)]
+
+    def teardown(self):
+        for _ in range(_SETTLE_TICKS):
+            self.wait(1)
+            while self.network.under_way:
+                self.network.deliver(
+                    next(iter(self.network.under_way)), 0, False
+                )
+        for name, other in (_NAMES, _NAMES[::-1]):
+            assert self.seen[other] == self.sent[name]
+            assert self.network.ends[name].waiting == 0
+        assert not self.broken
+
+
+Exchange.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+TestExchange = Exchange.TestCase
+
+
+def test_an_idle_link_exchanges_nothing():
+    machine = Exchange()
+    machine.send("one")
+    machine.teardown()
+    machine.wait(1000)
+    assert not machine.network.under_way
+
+
+def test_what_was_given_up_breaks_the_link_at_both_ends():
+    machine = Exchange()
+    machine.send("one")
+    machine.wait(2)
+    machine.clock.advance(silence.GIVE_UP_AFTER_S)
+    machine.wait(1)
+    machine.network.under_way.clear()
+    assert machine.broken == ["two"]
+    machine.send("one")
+    for _ in range(_SETTLE_TICKS):
+        machine.wait(1)
+        while machine.network.under_way:
+            machine.network.deliver(
+                next(iter(machine.network.under_way)), 0, False
+            )
+    assert machine.broken == ["two", "one"]
+    assert machine.seen["two"] == [1]
+
+
+def test_a_new_call_is_refused_while_too_much_waits():
+    link = links.create_link("key")
+    while not link.full:
+        link.add(calls.CallChunk(1, bytes(65_536), False))
+    assert link.waiting <= links.KEPT_BYTES // 65_536 + 1
+    link.settle(link.oldest)
+    assert not link.full
+
+
+# Each row: seconds between decisions, then the state that follows them.
+_PATIENCE = (
+    ((silence.PROBE_AFTER_S / 2,), "settled", silence.Wait),
+    ((silence.PROBE_AFTER_S,), "probing", silence.Probe),
+    (
+        (silence.PROBE_AFTER_S, silence.SILENT_AFTER_S / 2),
+        "probing",
+        silence.Wait,
+    ),
+    (
+        (silence.PROBE_AFTER_S, silence.SILENT_AFTER_S),
+        "reopening",
+        silence.Reopen,
+    ),
+    ((silence.GIVE_UP_AFTER_S,), "settled", silence.GiveUp),
+)
+
+
+@pytest.mark.parametrize("row", _PATIENCE, ids=str)
+def test_silence_is_decided_by_the_time_without_progress(row):
+    steps, state, action = row
+    watch = silence.create_watch()
+    now_s = 1000.0
+    watch.decide(now_s, 1)
+    for step_s in steps:
+        now_s += step_s + 1e-9
+        decided = watch.decide(now_s, 1)
+    assert isinstance(decided, action)
+    assert watch.state == state
+    watch.decide(now_s, 2)
+    assert watch.state == "settled"
