Refuse hostile peers and half-open callers, and count them

Not counted: a connection that speaks no ZeroMQ at all is cut off by the socket library without an event that tells it from a usual disconnection.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -211,7 +211,7 @@
         door = local.create_door(self._server, self._entry)
         limit = self._settings.header_limit_bytes
         return tuple(
-            httpserver.create_listener(handler, limit)
+            httpserver.create_listener(handler, limit, self._timers)
             for handler in (self._entry.handle, door.handle, pages.handle)
         )
 
--- a/src/savorybend/internal/connections.py
+++ b/src/savorybend/internal/connections.py
@@ -31,6 +31,9 @@
 _KEEPALIVE_INTERVAL_S = 10
 _KEEPALIVE_COUNT = 3
 _QUEUED_MESSAGES = 10_000
+# An oversized message is refused and counted; one beyond this ends its
+# connection before it is read into memory.
+_CUT_BEYOND_BYTES = 2 * codec.LARGEST_MESSAGE_BYTES
 _ZAP_DOMAIN = "savorybend"
 # A connection whose peer set no name gets one from the ROUTER that begins so.
 _NAMED_BY_ROUTER = b"\0"
@@ -98,6 +101,8 @@
         router.set(zmq.ROUTER_MANDATORY, 1)
         self._monitor = router.get_monitor_socket(_FAILED_HANDSHAKES)
         self._loop.add_reader(self._monitor.fd, self._drain_monitor)
+        # The descriptor signals nothing before the first read.
+        self._loop.call_soon(self._drain_monitor)
         router.bind(f"tcp://{address}")
         self._loop.add_reader(router.fd, self._drain_router)
 
@@ -209,7 +214,7 @@
         socket = self._context.socket(kind)
         socket.linger = 0
         socket.sndhwm = _QUEUED_MESSAGES
-        socket.set(zmq.MAXMSGSIZE, codec.LARGEST_MESSAGE_BYTES)
+        socket.set(zmq.MAXMSGSIZE, _CUT_BEYOND_BYTES)
         socket.set(zmq.HANDSHAKE_IVL, _HANDSHAKE_MS)
         socket.set(zmq.RECONNECT_IVL, _RECONNECT_MS)
         socket.set(zmq.RECONNECT_IVL_MAX, _RECONNECT_MOST_MS)
--- a/src/savorybend/internal/httpserver.py
+++ b/src/savorybend/internal/httpserver.py
@@ -7,7 +7,14 @@
 
 from savorybend.internal import headers
 from savorybend.internal import logs
+from savorybend.internal import metrics
 from savorybend.internal import outcomes
+from savorybend.internal import timers
+
+# Much longer than a head takes over a bad line, much shorter than it takes to
+# open as many connections as the daemon has descriptors.
+_HEAD_S = 10.0
+_KEEP_ALIVE_S = 75.0
 
 Handler = collections.abc.Callable[
     [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
@@ -19,6 +26,31 @@
 class _Protocol(web.RequestHandler):
     """Answers malformed requests the way the daemon answers any other."""
 
+    __slots__ = ("_head_expiry", "_timers")
+
+    def __init__(self, *args, timer_service: timers.TimerService, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._timers = timer_service
+        self._head_expiry: timers.Subscription | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what arrived, and bounds the time of an unfinished head."""
+        super().data_received(data)
+        # The library waits for the rest of a head without end, and callers
+        # that send a byte now and then would use up the descriptors.
+        unfinished = self._waiter is not None and not self._waiter.done()
+        if unfinished and self._head_expiry is None:
+            self._head_expiry = self._timers.after(_HEAD_S, self._end_head)
+        elif not unfinished and self._head_expiry is not None:
+            self._head_expiry.cancel()
+            self._head_expiry = None
+
+    def _end_head(self) -> None:
+        self._head_expiry = None
+        if self.transport is not None:
+            metrics.HALF_OPEN.inc()
+            self.force_close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -63,13 +95,20 @@
 class Listener:
     """An HTTP listener."""
 
-    def __init__(self, handler: Handler, header_limit_bytes: int):
+    def __init__(
+        self,
+        handler: Handler,
+        header_limit_bytes: int,
+        timer_service: timers.TimerService,
+    ):
         server = _Server(
             handler,
             handler_cancellation=True,
             access_log=None,
             max_line_size=header_limit_bytes,
             max_field_size=header_limit_bytes,
+            keepalive_timeout=_KEEP_ALIVE_S,
+            timer_service=timer_service,
         )
         self._runner = web.ServerRunner(server, handle_signals=False)
         self._site: web.TCPSite | None = None
@@ -94,6 +133,10 @@
     )
 
 
-def create_listener(handler: Handler, header_limit_bytes: int) -> Listener:
+def create_listener(
+    handler: Handler,
+    header_limit_bytes: int,
+    timer_service: timers.TimerService,
+) -> Listener:
     """Returns a listener that gives each request to `handler`."""
-    return Listener(handler, header_limit_bytes)
+    return Listener(handler, header_limit_bytes, timer_service)
--- a/src/savorybend/internal/wire/codec.py
+++ b/src/savorybend/internal/wire/codec.py
@@ -36,6 +36,11 @@
     Raises:
         errors.InvalidMessageError: The data is no message.
     """
+    if len(data) > LARGEST_MESSAGE_BYTES:
+        raise errors.InvalidMessageError(
+            f"a peer's message has {len(data)} bytes, more than "
+            f"{LARGEST_MESSAGE_BYTES}: run one version of savorybend on all VMs"
+        )
     try:
         return _DECODER.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
