Bound the bodies of requests in size and time

Cause: a chunked upload over the limit was answered as a lost answer or a lost backend server; a small body that stalled held its request for ever, shutdown included.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -33,7 +33,8 @@
     headers: dict[str, str]
 
 
-async def _time_once(session: aiohttp.ClientSession, way: Way) -> float:
+async def time_once(session: aiohttp.ClientSession, way: Way) -> float:
+    """Returns how long one call took, in seconds."""
     started = time.perf_counter()
     async with session.get(way.url, headers=way.headers) as answer:
         await answer.read()
@@ -46,7 +47,7 @@
     for _ in range(_ROUNDS):
         for way in ways:
             for _ in range(calls // _ROUNDS):
-                found[way.name].append(await _time_once(session, way))
+                found[way.name].append(await time_once(session, way))
     return found
 
 
@@ -58,7 +59,7 @@
     async def work():
         nonlocal done
         while time.perf_counter() < end:
-            await _time_once(session, way)
+            await time_once(session, way)
             done += 1
 
     await asyncio.gather(*(work() for _ in range(_CONCURRENCY)))
--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web
 
-from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import configstore
 from savorybend.internal import errors
@@ -20,6 +19,7 @@
 from savorybend.internal import sentinels
 from savorybend.internal import snapshot
 from savorybend.internal import timers
+from savorybend.internal import uploads
 
 _REQUEST_IDS_PATH = "/savorybend/v1/request-ids"
 _ENTRIES_PATH = "/savorybend/v1/entries"
@@ -101,10 +101,13 @@
             return self._refuse(
                 call, request.headers.get(headers.REQUEST_ID, "")
             )
-        body = await self._read_body(request, call)
+        body = await uploads.read(
+            request, call, self._parts.body_limit_bytes, self._parts.clock
+        )
         if isinstance(body, outcomes.Refuse):
             return self._refuse(body, call.request_id, call)
         answer = await self._parts.target.execute(call, body)
+        answer = uploads.judge(call, body, answer)
         self._settle_child(request, answer)
         response = await httpanswers.send(request, answer, call.request_id)
         passed_s = self._parts.clock.now_s() - started_s
@@ -219,25 +222,6 @@
             live.retries_left = max(0, live.retries_left - answer.retries_spent)
             live.effects = live.effects or answer.effects
 
-    async def _read_body(
-        self, request: web.BaseRequest, call: calls.Call
-    ) -> bodies.Body | outcomes.Refuse:
-        length = request.content_length
-        if length is not None and length > self._parts.body_limit_bytes:
-            return outcomes.refuse(
-                outcomes.BODY_TOO_LARGE,
-                f"{length} bytes; at most {self._parts.body_limit_bytes}",
-            )
-        if not request.body_exists:
-            return bodies.EMPTY
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0
-        if length is not None and length <= bodies.INLINE_BYTES:
-            return bodies.WholeBody(await request.content.read(-1))
-        read = _bounded(request, self._parts.body_limit_bytes)
-        return bodies.StreamedBody(read, length)
-
     def _request_id(
         self, request: web.BaseRequest, route: snapshot.Route
     ) -> str | outcomes.Refuse:
@@ -307,22 +291,6 @@
         return outcomes.refuse(outcomes.HEADER_INVALID, str(error))
 
 
-def _bounded(request: web.BaseRequest, limit: int):
-    seen = 0
-
-    async def read() -> bytes:
-        nonlocal seen
-        data = await request.content.readany()
-        seen += len(data)
-        if seen > limit:
-            raise errors.AnswerLostError(
-                f"the body has more than {limit} bytes: send a smaller one"
-            )
-        return data
-
-    return read
-
-
 def create_entry(parts: Parts) -> Entry:
     """Returns the entry of a daemon."""
     return Entry(parts)
