--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -30,6 +30,7 @@
 from savorybend.internal import logs
 from savorybend.internal import members
 from savorybend.internal import membership
+from savorybend.internal import peerkeys
 from savorybend.internal import peers
 from savorybend.internal import platform
 from savorybend.internal import quarantine
@@ -68,10 +69,12 @@
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
-        keys = peers.create_key_pair()
+        keys = peerkeys.create_key_pair()
         own = _own_record(settings, keys.public)
         self._directory = members.create_directory(own)
-        self._transport = peers.create_transport(self._directory, keys)
+        self._transport = peers.create_transport(
+            self._directory, keys, self._timers
+        )
         self._platform = platform.create_platform(
             settings.platform_url, session
         )
@@ -96,9 +99,8 @@
         self._dispatcher = self._create_dispatcher(clock, own)
         self._receiver = receiving.create_receiver(
             self._transport,
-            clock,
+            self._timers,
             dispatching.create_doorway(self._dispatcher, self._serving),
-            self._directory,
         )
         self._entry = self._create_entry(clock, own)
         self._listeners = self._create_listeners()
@@ -161,6 +163,8 @@
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
         in_flight += self._guard.in_flight + self._records.running
+        # An answer that its peer hasn't received yet is still in flight.
+        in_flight += self._transport.waiting
         return in_flight + self._gate.in_use > 0
 
     def _on_configuration(self, current: snapshot.Snapshot) -> None:
@@ -202,9 +206,7 @@
     def _create_dispatcher(
         self, clock: timers.Clock, own: members.Record
     ) -> dispatching.Dispatcher:
-        forwarder = forwarding.create_forwarder(
-            self._transport, clock, self._directory
-        )
+        forwarder = forwarding.create_forwarder(self._transport, self._timers)
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
@@ -296,7 +298,7 @@
         door = local.create_door(self._server, self._entry)
         limit = self._settings.header_limit_bytes
         return tuple(
-            httpserver.create_listener(handler, limit)
+            httpserver.create_listener(handler, limit, self._timers)
             for handler in (self._entry.handle, door.handle, pages.handle)
         )
 
@@ -334,7 +336,7 @@
         data_centre=settings.data_centre,
         service=settings.service,
         call_address=str(settings.call_address),
-        peer_address=str(settings.peer_address),
+        peer_address=str(settings.peer_announce or settings.peer_address),
         admin_address=str(settings.admin_address),
         public_key=public_key,
     )
