Cut and silence links between daemons in the random schedules

Change: the schedules also break and silence what runs to a daemon, and heal it; a test breaks every link while the backend server works. With the fetching of lost answers off, the new test and that of the answer that outlives its issuer fail.

--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from standins import caller as callers
+from standins import proxy
 from standins import site as sites
 from tests import documents
 
@@ -24,7 +25,7 @@
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def site():
     async with sites.create_site() as made:
-        await made.add(_WORKERS)
+        await made.add(_WORKERS, proxied=True)
         document = documents.create_site().to_json().encode()
         await made.ctl("config", "submit", "-", stdin=document)
         await made.wait_ready()
@@ -92,6 +93,22 @@
     assert await _runs(site, request_id) == 1
 
 
+async def test_an_answer_lost_between_daemons_is_fetched(site, maruyama):
+    request_id = await _take(site, maruyama, "front-1")
+    await site.control("back-1", slow=10)
+    before = (await site.record("back-1"))["in_use"]
+    call = asyncio.create_task(_post(site, maruyama, "front-1", request_id))
+    while (await site.record("back-1"))["in_use"] == before:
+        await asyncio.sleep(_POLL_S)
+    for link in site.proxies.values():
+        link.inject(proxy.Fault.CUT)
+        link.heal()
+    answer = await call
+    await site.control("back-1", slow=1)
+    assert (answer.status, answer.outcome) == (200, "ran")
+    assert await _runs(site, request_id) == 1
+
+
 async def test_another_request_under_the_id_is_not_run(site, maruyama):
     request_id = await _take(site, maruyama, "back-1")
     await _post(site, maruyama, "back-1", request_id)
--- a/tests/integration/test_schedules.py
+++ b/tests/integration/test_schedules.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies
 
 from standins import caller as callers
+from standins import proxy
 from standins import site as sites
 from tests import documents
 
@@ -36,7 +37,7 @@
 _TIMEOUT_S = 1.5
 _PATIENCE = aiohttp.ClientTimeout(total=2 * _TIMEOUT_S)
 _UP, _FROZEN, _DEAD = "up", "frozen", "dead"
-_FAULTS = ("kill", "drain", "freeze")
+_FAULTS = ("kill", "drain", "freeze", "cut", "silence")
 _ACTIONS = ("send", "resend") * 3 + ("recover",) * 3 + _FAULTS
 
 _names = strategies.sampled_from(_NAMES)
@@ -94,8 +95,17 @@
         self.site.freeze(name)
         self.state[name] = _FROZEN
 
+    async def cut(self, name):
+        """Breaks and refuses connections to a daemon."""
+        self.site.proxies[name].inject(proxy.Fault.CUT)
+
+    async def silence(self, name):
+        """Swallows what is sent over connections to a daemon."""
+        self.site.proxies[name].inject(proxy.Fault.SILENT)
+
     async def recover(self, name):
-        """Resumes a frozen VM, or replaces a dead one."""
+        """Heals a VM's links, resumes it if frozen, replaces it if dead."""
+        self.site.proxies[name].heal()
         if self.state[name] == _FROZEN:
             self.site.resume(name)
         if self.state[name] == _DEAD:
@@ -173,6 +183,8 @@
                 self.run(self._resend(number, entry))
             case "recover":
                 self.run(self.world.recover(name))
+            case "cut" | "silence":
+                self.run(getattr(self.world, action)(name))
             case "kill" | "drain" | "freeze" if self._may_fail(name):
                 self.run(getattr(self.world, action)(name))
 
@@ -224,7 +236,7 @@
 async def _start():
     stack = contextlib.AsyncExitStack()
     site = await stack.enter_async_context(sites.create_site())
-    await site.add(_WORKERS)
+    await site.add(_WORKERS, proxied=True)
     document = documents.create_site().to_json().encode()
     code, output = await site.ctl("config", "submit", "-", stdin=document)
     assert code == 0, output
