--- a/src/savorybend/internal/settings.py
+++ b/src/savorybend/internal/settings.py
@@ -80,6 +80,10 @@
     return Address(host.strip("[]"), number)
 
 
+def _parse_optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
 def _parse_name(text: str) -> str:
     if not _NAME.fullmatch(text):
         raise ValueError("use a-z, 0-9 and '-', at most 63 characters")
--- a/standins/site.py
+++ b/standins/site.py
@@ -82,7 +82,10 @@
         self.platform = self.book.next()
         self.workers: dict[str, Worker] = {}
         self.addresses: dict[str, Addresses] = {}
-        self.proxies: dict[str, list[proxies.Proxy]] = {}
+        # The proxies between peers and the daemons added `proxied`.
+        self.proxies: dict[str, proxies.Proxy] = {}
+        self._admin_proxies: dict[str, proxies.Proxy] = {}
+        self._all_proxies: list[proxies.Proxy] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self):
@@ -194,26 +197,28 @@
         address = self.book.next()
         proxy = proxies.Proxy(_split(address), _split(target))
         await proxy.start()
-        self.proxies.setdefault("", []).append(proxy)
+        self._all_proxies.append(proxy)
         return proxy, address
 
     async def _announce_proxies(self, name):
         at = self.addresses[name]
-        for field in ("peer", "admin"):
-            proxy, address = await self.put_proxy(getattr(at, field))
-            self.proxies.setdefault(name, []).append(proxy)
-            variable = f"ANNOUNCED_{field.upper()}_ADDRESS"
-            self._settings[name][variable] = address
+        announced = self._settings[name]
+        proxy, address = await self.put_proxy(at.peer)
+        self.proxies[name] = proxy
+        announced["ANNOUNCED_PEER_ADDRESS"] = address
+        proxy, address = await self.put_proxy(at.admin)
+        self._admin_proxies[name] = proxy
+        announced["ANNOUNCED_ADMIN_ADDRESS"] = address
 
     def cut(self, name):
         """Cuts the ways to a daemon that was added `proxied`."""
-        for proxy in self.proxies[name]:
-            proxy.inject(proxies.Fault.CUT)
+        self.proxies[name].inject(proxies.Fault.CUT)
+        self._admin_proxies[name].inject(proxies.Fault.CUT)
 
     def heal(self, name):
         """Ends what `cut` began."""
-        for proxy in self.proxies[name]:
-            proxy.heal()
+        self.proxies[name].heal()
+        self._admin_proxies[name].heal()
 
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
@@ -291,7 +296,7 @@
                 process.kill()
         for process in self._processes.values():
             await process.wait()
-        for proxy in self.proxies.get("", ()):
+        for proxy in self._all_proxies:
             await proxy.stop()
 
     async def _start(self, name, module, *arguments, **environment):
--- a/tests/integration/fleets.py
+++ b/tests/integration/fleets.py
@@ -13,7 +13,9 @@
 
 def create_text(number=0):
     """Returns a document that differs by its number."""
-    site = documents.create_site()
+    # A data centre that the configuration doesn't name has no share of any
+    # client account's rate.
+    site = documents.create_site(("east", "north", "west"))
     site.add_client_account(
         f"account-{number}", rate_per_s=10_000, burst=10_000
     )
--- a/tests/integration/test_outages.py
+++ b/tests/integration/test_outages.py
@@ -127,7 +127,8 @@
         for name in names:
             assert await fleets.until(fleets.agree(site, [name]))
             address = site.addresses[name].call
-            assert (await person.call(address, "/back")).outcome == "ran"
+            found = await person.call(address, "/back")
+            assert found.outcome == "ran", found
         version = await fleets.submit(site, 9)
         # Each still has its own way to the platform.
         assert await fleets.in_force(site, version, names)
