Shed load by priority, fair share and age beside the backend server

Cause: the gate took the announced slots for the truth, knew no accounts, and told nobody upstream that it was overloaded. Change: a concurrency limit that compares the latency of neighbouring windows; a queue by priority, weighted fair share and age; refusals at once where the deadline can't be met; an admission threshold on every answer, the highest along the chain, obeyed at entries; a choice by work in flight and latency, with slow start, suspects and spill. A switch for each mechanism, for benchmarks.

--- /dev/null
+++ b/src/savorybend/internal/admission.py
@@ -0,0 +1,140 @@
+"""Admission thresholds: how an overloaded daemon has calls refused upstream.
+
+A threshold is a number from 0 to 10 that says how much to refuse, from the
+least important class upwards: 0 refuses nothing, 2 refuses the classes 8 and
+9, and 2.5 refuses half of class 7 as well. Which half that is, `shares`
+decides: what accounts send above an even share.
+"""
+
+import collections
+import math
+import random
+
+from savorybend.internal import calls
+from savorybend.internal import outcomes
+from savorybend.internal import timers
+
+CLASSES = 10
+# A little of the most important class always gets through, since its replies
+# are how daemons far away learn that the overload is over.
+HIGHEST = CLASSES - 0.05
+
+_WINDOW_S = 0.25
+# More than capacity is let through, so that the queue beside the backend
+# server, which orders calls exactly, is never empty for want of knowledge.
+_HEADROOM = 1.1
+_TIGHTENING_PART = 0.5
+_SMALLEST_EASING = 0.05
+_LARGEST_EASING = 2.0
+
+_SOONEST_RETURN_S = 0.5
+_RETURN_S_PER_LEVEL = 0.5
+
+
+def part_admitted(priority: int, threshold: float) -> float:
+    """Returns the part of a class that a threshold lets through, 0 to 1."""
+    return min(1.0, max(0.0, CLASSES - threshold - priority))
+
+
+def retry_after_s(threshold: float, rng: random.Random) -> float:
+    """Returns when a refused caller may come back, in seconds.
+
+    The times are spread, so that callers which were refused together don't
+    come back together.
+    """
+    usual_s = _SOONEST_RETURN_S + threshold * _RETURN_S_PER_LEVEL
+    return usual_s * rng.uniform(0.5, 1.5)
+
+
+def refusal(threshold: float, rng: random.Random) -> outcomes.Refuse:
+    """Returns the refusal of a call that a threshold doesn't let through."""
+    return outcomes.Refuse(outcomes.OVERLOADED, retry_after_s(threshold, rng))
+
+
+class Controller:
+    """Sets a daemon's own threshold from what its gate takes and sheds.
+
+    It tightens at once and eases slowly, then faster while nothing is shed,
+    so that it doesn't swing with each burst but is gone soon after a surge.
+    """
+
+    def __init__(self, clock: timers.Clock):
+        self._clock = clock
+        self._threshold = calls.NO_THRESHOLD
+        self._easing = _SMALLEST_EASING
+        self._offered: collections.Counter[int] = collections.Counter()
+        self._served = 0
+        self._shed = 0
+        self._window_ends_s = clock.now_s() + _WINDOW_S
+
+    @property
+    def threshold(self) -> float:
+        """The threshold in force."""
+        self._roll()
+        return self._threshold
+
+    def offered(self, priority: int) -> None:
+        """Notes that a call arrived."""
+        self._roll()
+        self._offered[priority] += 1
+
+    def served(self) -> None:
+        """Notes that a call was given to the backend server."""
+        self._served += 1
+
+    def shed(self) -> None:
+        """Notes that a call was refused for want of capacity."""
+        self._shed += 1
+
+    def _roll(self) -> None:
+        late_s = self._clock.now_s() - self._window_ends_s
+        if late_s < 0:
+            return
+        self._end_window()
+        # Windows in which nothing happened were calm ones.
+        for _ in range(min(int(late_s / _WINDOW_S), CLASSES)):
+            self._end_window()
+        self._window_ends_s = self._clock.now_s() + _WINDOW_S
+
+    def _end_window(self) -> None:
+        if self._shed:
+            self._tighten()
+        else:
+            self._ease()
+        self._offered.clear()
+        self._served = 0
+        self._shed = 0
+
+    def _tighten(self) -> None:
+        self._easing = _SMALLEST_EASING
+        wanted = CLASSES - self._cut(self._served * _HEADROOM)
+        if wanted <= self._threshold:
+            return
+        moved = (wanted - self._threshold) * _TIGHTENING_PART
+        self._threshold = min(HIGHEST, self._threshold + moved)
+
+    def _cut(self, room: float) -> float:
+        """Returns the rank below which offered calls fit into `room`."""
+        for priority in sorted(self._offered):
+            count = self._offered[priority]
+            if count > room:
+                # What arrived of a class that is cut already is only its
+                # admitted part.
+                part = part_admitted(priority, self._threshold)
+                return priority + room / count * part
+            room -= count
+        return float(CLASSES)
+
+    def _ease(self) -> None:
+        if self._threshold <= 0:
+            return
+        self._threshold = max(0.0, self._threshold - self._easing)
+        self._easing = min(_LARGEST_EASING, self._easing * 2)
+        if math.isclose(self._threshold, 0.0):
+            self._threshold = calls.NO_THRESHOLD
+            self._easing = _SMALLEST_EASING
+
+
+def create_controller(clock: timers.Clock) -> Controller:
+    """Returns a controller that refuses nothing yet."""
+    return Controller(clock)
--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -38,6 +38,8 @@
 # How long a drain is given to reach the peers before the listeners close;
 # until then they are told to go elsewhere.
 _SPREAD_S = 1.0
+# Callers without a key share one account that no configuration describes.
+_OPEN_WEIGHT = 1.0
 
 _log = logs.get()
 
@@ -76,7 +78,9 @@
             settings.name, settings.journal_entries
         )
         self._limiter = limits.create_limiter(clock, self._directory)
-        self._gate = concurrency.create_gate(clock)
+        self._gate = concurrency.create_gate(
+            self._timers, self._weight_of, settings.experiment
+        )
         self._server = backendserver.create_backend_server(self._gate)
         self._handles = handles.create_handles()
         self._serving = self._create_serving(clock)
@@ -147,6 +151,11 @@
         if self.state == "starting":
             self.trigger("configured")
 
+    def _weight_of(self, client_account: str) -> float:
+        current = self._configuration.in_force
+        account = current and current.accounts.get(client_account)
+        return account.weight if account else _OPEN_WEIGHT
+
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -166,10 +175,14 @@
     def _create_entry(
         self, clock: timers.Clock, own: members.Record
     ) -> entry.Entry:
+        tracker = choice.create_tracker(
+            random.Random(), clock, self._weight_of, self._settings.experiment
+        )
+        self._directory.subscribe(tracker.on_change)
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
-                tracker=choice.create_tracker(random.Random()),
+                tracker=tracker,
                 local=self._serving,
                 forwarder=forwarding.create_forwarder(
                     self._transport, clock, self._directory
--- a/src/savorybend/internal/choice.py
+++ b/src/savorybend/internal/choice.py
@@ -1,49 +1,122 @@
 """Which daemon a call is given to."""
 
+import collections.abc
 import random
 import typing
 
+from savorybend.internal import admission
 from savorybend.internal import calls
+from savorybend.internal import experiments
 from savorybend.internal import members
+from savorybend.internal import metrics
 from savorybend.internal import outcomes
 from savorybend.internal import sentinels
+from savorybend.internal import shares
+from savorybend.internal import sights
+from savorybend.internal import timers
 
 NO_CANDIDATE = sentinels.create(
     "NO_CANDIDATE", "no daemon of the service takes new work"
 )
 
+# The backend server on this VM costs no hop, so another one must be this much
+# better before a call leaves the VM.
+_LOCAL_PREFERENCE = 2.0
+# One for each route and class.
+_MOST_PLACES = 10_000
+
+
+class Question(typing.NamedTuple):
+    """What a choice depends on.
+
+    Attributes:
+        own: The record of the daemon that chooses.
+        candidates: Daemons that take new work for the service.
+        tried: Names of those that refused this call already.
+        call: The call.
+    """
+
+    own: members.Record
+    candidates: tuple[members.Record, ...]
+    tried: frozenset[str]
+    call: calls.Call
+
+
+class Given(typing.NamedTuple):
+    """A call that a daemon was given.
+
+    Attributes:
+        daemon: The daemon's name.
+        route: The call's route.
+        at_s: When, on this VM's clock.
+    """
+
+    daemon: str
+    route: str
+    at_s: float
+
+
+Choice = members.Record | outcomes.Refuse | sentinels.Absence
+
 
 class Tracker:
     """What this daemon sees of the others' load."""
 
-    def __init__(self, rng: random.Random):
+    def __init__(
+        self,
+        rng: random.Random,
+        clock: timers.Clock,
+        weight_of: collections.abc.Callable[[str], float],
+        switches: experiments.Switches,
+    ):
         self._rng = rng
-        self._in_flight: dict[str, int] = {}
-
-    def started(self, daemon: str) -> None:
+        self._clock = clock
+        self._weight_of = weight_of
+        self._switches = switches
+        self._created_s = clock.now_s()
+        self._sights: dict[str, sights.Sight] = {}
+        self._places: dict[tuple[str, int], shares.Places] = {}
+
+    def started(self, daemon: str, route: str) -> Given:
         """Notes that a call was given to a daemon."""
-        self._in_flight[daemon] = self._in_flight.get(daemon, 0) + 1
+        self._sight(daemon).in_flight += 1
+        return Given(daemon, route, self._clock.now_s())
 
-    def ended(self, daemon: str, answer: calls.Answer | None) -> None:
+    def ended(self, given: Given, answer: calls.Answer | None) -> None:
         """Notes that a call given to a daemon is over.
 
         Args:
-            daemon: The daemon's name.
+            given: What `started` returned.
             answer: Its answer, or None if the call was cancelled.
         """
-        left = self._in_flight.get(daemon, 1) - 1
-        if left:
-            self._in_flight[daemon] = left
-        else:
-            self._in_flight.pop(daemon, None)
+        sight = self._sight(given.daemon)
+        sight.in_flight = max(0, sight.in_flight - 1)
+        if answer is None:
+            return
+        now_s = self._clock.now_s()
+        sight.hear(answer, given.route, now_s)
+        sight.judge(answer, now_s - given.at_s, now_s)
+
+    def on_change(self, change: members.Change) -> None:
+        """Drops what was seen of a daemon that is gone."""
+        match change:
+            case members.Gone(record=record):
+                self._sights.pop(record.name, None)
+            case _:
+                pass
 
     def in_flight(self, daemon: str) -> int:
         """Returns the calls in flight to a daemon from here."""
-        return self._in_flight.get(daemon, 0)
+        sight = self._sights.get(daemon)
+        return 0 if sight is None else sight.in_flight
 
-    def choose(
-        self, question: "Question"
-    ) -> "members.Record | outcomes.Refuse | sentinels.Absence":
+    def threshold(self, daemon: str, route: str) -> float:
+        """Returns the threshold that a daemon is taken to have now."""
+        if not self._switches.thresholds:
+            return calls.NO_THRESHOLD
+        return self._sight(daemon).threshold(route, self._clock.now_s())
+
+    def choose(self, question: Question) -> Choice:
         """Returns the daemon to give a call to.
 
         Returns:
@@ -57,35 +130,110 @@
         ]
         if not candidates:
             return NO_CANDIDATE
-        near = [
-            record
-            for record in candidates
-            if record.data_centre == question.own.data_centre
-        ]
-        pool = near or candidates
-        for record in pool:
-            if record.name == question.own.name:
-                return record
-        pair = self._rng.sample(pool, min(2, len(pool)))
-        return min(pair, key=lambda record: self.in_flight(record.name))
-
-
-class Question(typing.NamedTuple):
-    """What a choice depends on.
-
-    Attributes:
-        own: The record of the daemon that chooses.
-        candidates: Daemons that take new work for the service.
-        tried: Names of those that refused this call already.
-        call: The call.
+        call = question.call
+        # A child call's request was let in by the rule of its entry; asking
+        # again at each hop would shed the same part over and over.
+        if call.depth == 0 and not question.tried:
+            refusal = self._refusal(call, candidates)
+            if refusal is not None:
+                return refusal
+        return self._best(question.own, self._pool(question, candidates))
+
+    def _refusal(
+        self, call: calls.Call, candidates: list[members.Record]
+    ) -> outcomes.Refuse | None:
+        lowest = min(self.threshold(one.name, call.route) for one in candidates)
+        places = self._places_of(call)
+        places.note(call.client_account)
+        part = admission.part_admitted(call.priority, lowest)
+        if places.admits(call.client_account, part):
+            return None
+        metrics.shed(
+            call.client_account,
+            call.priority,
+            outcomes.OVERLOADED.name,
+            "entry",
+        ).inc()
+        return admission.refusal(lowest, self._rng)
+
+    def _pool(
+        self, question: Question, candidates: list[members.Record]
+    ) -> list[members.Record]:
+        """Returns the nearest candidates that are fit for the call."""
+        centre = question.own.data_centre
+        near = [one for one in candidates if one.data_centre == centre]
+        if not self._switches.choice:
+            return near or candidates
+        for pool in (near, candidates):
+            fit = [one for one in pool if self._fit(one.name, question.call)]
+            if fit:
+                return fit
+        trusted = [one for one in candidates if not self._suspect(one.name)]
+        return trusted or candidates
+
+    def _fit(self, daemon: str, call: calls.Call) -> bool:
+        threshold = self.threshold(daemon, call.route)
+        whole = admission.part_admitted(call.priority, threshold) >= 1
+        return whole and not self._suspect(daemon)
+
+    def _best(
+        self, own: members.Record, pool: list[members.Record]
+    ) -> members.Record:
+        others = [one for one in pool if one.name != own.name]
+        local = len(others) < len(pool)
+        if local and (not others or not self._switches.choice):
+            return own
+        pair = self._rng.sample(others, min(2, len(others)))
+        best = min(pair, key=lambda one: self._cost(one.name))
+        if not local:
+            return best
+        least = _LOCAL_PREFERENCE * self._cost(best.name)
+        return own if self._cost(own.name) <= least else best
+
+    def _cost(self, daemon: str) -> float:
+        sight = self._sight(daemon)
+        if not self._switches.choice:
+            return sight.in_flight
+        return sight.cost_s(self._clock.now_s())
+
+    def _suspect(self, daemon: str) -> bool:
+        return self._sight(daemon).suspect(self._clock.now_s())
+
+    def _sight(self, daemon: str) -> sights.Sight:
+        sight = self._sights.get(daemon)
+        if sight is None:
+            sight = sights.create_sight(self._clock.now_s(), self._created_s)
+            self._sights[daemon] = sight
+        return sight
+
+    def _places_of(self, call: calls.Call) -> shares.Places:
+        key = (call.route, call.priority)
+        places = self._places.get(key)
+        if places is None:
+            places = shares.create_places(
+                self._clock, self._rng, self._weight_of
+            )
+            if len(self._places) < _MOST_PLACES:
+                self._places[key] = places
+        return places
+
+
+def _even(client_account: str) -> float:
+    return 1.0
+
+
+def create_tracker(
+    rng: random.Random,
+    clock: timers.Clock,
+    weight_of: collections.abc.Callable[[str], float] = _even,
+    switches: experiments.Switches = experiments.ALL_ON,
+) -> Tracker:
+    """Returns a tracker that knows of no load yet.
+
+    Args:
+        rng: Where choices come from.
+        clock: The time.
+        weight_of: Returns a client account's weight, above zero.
+        switches: Mechanisms that work.
     """
-
-    own: members.Record
-    candidates: tuple[members.Record, ...]
-    tried: frozenset[str]
-    call: calls.Call
-
-
-def create_tracker(rng: random.Random) -> Tracker:
-    """Returns a tracker that knows of no load yet."""
-    return Tracker(rng)
+    return Tracker(rng, clock, weight_of, switches)
--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -104,8 +104,7 @@
         body = await self._read_body(request, call)
         if isinstance(body, outcomes.Refuse):
             return self._refuse(body, call.request_id, call)
-        answer = await self._parts.target.execute(call, body)
-        self._settle_child(request, answer)
+        answer = await self._execute(request, call, body)
         response = await httpanswers.send(request, answer, call.request_id)
         passed_s = self._parts.clock.now_s() - started_s
         metrics.call_seconds(
@@ -211,11 +210,25 @@
         self._note(call, "child-call", f"depth={call.depth}")
         return call
 
+    async def _execute(
+        self, request: web.BaseRequest, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        live = self._parts.handles.find(request.headers.get(headers.HANDLE, ""))
+        if not call.depth or not live:
+            return await self._parts.target.execute(call, body)
+        live.child_started(self._parts.clock.now_s())
+        try:
+            answer = await self._parts.target.execute(call, body)
+        finally:
+            live.child_ended(self._parts.clock.now_s())
+        self._settle_child(live, answer)
+        return answer
+
     def _settle_child(
-        self, request: web.BaseRequest, answer: calls.Answer
+        self, live: handles.LiveRequest, answer: calls.Answer
     ) -> None:
-        live = self._parts.handles.find(request.headers.get(headers.HANDLE, ""))
-        if live:
+        if self._parts.handles.find(live.handle):
+            live.threshold = max(live.threshold, answer.threshold)
             live.retries_left = max(0, live.retries_left - answer.retries_spent)
             live.effects = live.effects or answer.effects
 
--- a/src/savorybend/internal/handles.py
+++ b/src/savorybend/internal/handles.py
@@ -18,14 +18,28 @@
 class LiveRequest:
     """A request that this VM's backend server is working on."""
 
-    __slots__ = ("_call", "_children", "retries_left", "effects", "handle")
+    __slots__ = (
+        "_call",
+        "_children",
+        "_children_s",
+        "_pending",
+        "_pending_since_s",
+        "retries_left",
+        "effects",
+        "handle",
+        "threshold",
+    )
 
     def __init__(self, handle: str, call: calls.Call):
         self._call = call
         self._children = 0
+        self._children_s = 0.0
+        self._pending = 0
+        self._pending_since_s = 0.0
         self.handle = handle
         self.retries_left = call.retries
         self.effects = False
+        self.threshold = calls.NO_THRESHOLD
 
     @property
     def call(self) -> calls.Call:
@@ -37,6 +51,23 @@
         """How many child calls it has made."""
         return self._children
 
+    @property
+    def children_s(self) -> float:
+        """Seconds in which it waited for at least one child call."""
+        return self._children_s
+
+    def child_started(self, now_s: float) -> None:
+        """Notes that it waits for a child call."""
+        if not self._pending:
+            self._pending_since_s = now_s
+        self._pending += 1
+
+    def child_ended(self, now_s: float) -> None:
+        """Notes that a child call is over."""
+        self._pending -= 1
+        if not self._pending:
+            self._children_s += now_s - self._pending_since_s
+
     def next_child_id(self) -> str:
         """Returns the ID of its next child call."""
         self._children += 1
--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -57,6 +57,25 @@
     "Connections and messages of other daemons that were refused.",
     ("cause",),
 )
+_QUEUE_SECONDS = prometheus_client.Histogram(
+    "savorybend_queue_seconds",
+    "Time that calls waited beside the backend server on this VM.",
+    ("client_account", "priority"),
+    buckets=_LATENCY_BUCKETS_S,
+)
+_SHED = prometheus_client.Counter(
+    "savorybend_shed",
+    "Calls refused to relieve a backend server, by where that was decided.",
+    ("client_account", "priority", "reason", "place"),
+)
+CONCURRENCY_LIMIT = prometheus_client.Gauge(
+    "savorybend_concurrency_limit",
+    "Calls that the backend server on this VM may work on at once.",
+)
+THRESHOLD = prometheus_client.Gauge(
+    "savorybend_admission_threshold",
+    "This daemon's own admission threshold, from 0 (refuses nothing) to 10.",
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "savorybend_configuration_version",
     "Version of the configuration in force.",
@@ -90,6 +109,29 @@
     return _BACKEND_SECONDS.labels(str(priority))
 
 
+@functools.cache
+def queue_seconds(
+    client_account: str, priority: int
+) -> prometheus_client.Histogram:
+    """Returns the histogram of one account's and class's time in the queue."""
+    return _QUEUE_SECONDS.labels(client_account, str(priority))
+
+
+@functools.cache
+def shed(
+    client_account: str, priority: int, reason: str, place: str
+) -> prometheus_client.Counter:
+    """Returns the counter of what was shed of one account and class.
+
+    Args:
+        client_account: The account.
+        priority: The class.
+        reason: Why.
+        place: `gate` beside the backend server, or `entry` upstream of it.
+    """
+    return _SHED.labels(client_account, str(priority), reason, place)
+
+
 @functools.cache
 def refusals(client_account: str, reason: str) -> prometheus_client.Counter:
     """Returns the counter of one account's refusals for one reason."""
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -76,12 +76,12 @@
         self, record: members.Record, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
         answer: calls.Answer | None = None
-        self._tracker.started(record.name)
+        given = self._tracker.started(record.name, call.route)
         try:
             answer = await self._target(record).execute(call, body)
             return answer
         finally:
-            self._tracker.ended(record.name, answer)
+            self._tracker.ended(given, answer)
 
     def _target(self, record: members.Record) -> calls.Target:
         if record.name == self._directory.own.name:
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -160,7 +160,7 @@
             decided_by=self._parts.daemon,
             retries_spent=flight.call.retries - live.retries_left,
             effects=live.effects or not flight.call.idempotent,
-            threshold=self._parts.gate.threshold,
+            threshold=flight.threshold,
             body=body,
         )
 
@@ -197,7 +197,7 @@
             call.request_id,
             self._parts.daemon,
             retries_spent=call.retries - flight.live.retries_left,
-            threshold=self._parts.gate.threshold,
+            threshold=flight.threshold,
         )
 
 
@@ -220,6 +220,11 @@
         """The call."""
         return self.live.call
 
+    @property
+    def threshold(self) -> float:
+        """The highest threshold at this daemon and behind it."""
+        return max(self._parts.gate.threshold, self.live.threshold)
+
     def end(self, whole: bool) -> None:
         """Gives the ticket and the handle back; ending twice is no error."""
         if self._over:
@@ -228,7 +233,7 @@
         latency_s = self._parts.clock.now_s() - self._ticket.entered_s
         metrics.backend_seconds(self.call.priority).observe(latency_s)
         self._parts.handles.withdraw(self.live)
-        report = concurrency.Report(latency_s, failed=not whole)
+        report = concurrency.Report(latency_s, not whole, self.live.children_s)
         self._parts.gate.leave(self._ticket, report)
 
     def end_of(self, response: aiohttp.ClientResponse):
--- a/src/savorybend/internal/settings.py
+++ b/src/savorybend/internal/settings.py
@@ -9,6 +9,7 @@
 
 import savorybend
 from savorybend.internal import errors
+from savorybend.internal import experiments
 from savorybend.internal import logs
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -45,6 +46,7 @@
     drain_timeout_s: float
     journal_entries: int
     log_level: str
+    experiment: experiments.Switches
 
 
 class _Setting(typing.NamedTuple):
@@ -177,6 +179,12 @@
         "how many requests the journal keeps",
     ),
     _Setting("log_level", _parse_level, "info", "debug, info, warning, error"),
+    _Setting(
+        "experiment",
+        experiments.parse,
+        "",
+        "mechanisms of overload control to turn off, for benchmarks only",
+    ),
 )
 
 
