--- a/src/savorybend/internal/adaptive.py
+++ b/src/savorybend/internal/adaptive.py
@@ -8,65 +8,91 @@
 its load is judged by what it does now.
 """
 
-import dataclasses
 import math
 
 SMALLEST_LIMIT = 1
 LARGEST_LIMIT = 10_000
 
 # A trial goes so far above the limit, and at least one call.
-_TRIAL_FACTOR = 1.1
+_TRIAL_FACTOR = 1.2
 # Where latency follows concurrency more closely than this power of it, calls
 # queue inside the backend server.
 _QUEUEING_ELASTICITY = 0.5
-_FEWEST_SAMPLES = 20
+_FEWEST_SAMPLES = 10
 # Below this part of the limit, calls were not held back by it, and the window
 # says nothing about it.
 _BINDING_PART = 0.9
+# A decision is made once the evidence is this many standard errors strong;
+# with so many samples and still no decision, either way is as good.
+_SURE = 2.0
+_MOST_SAMPLES = 500
+# A window whose latency differs so much from those before it was taken of
+# another backend server, so to speak: what was gathered is dropped.
+_CHANGED_FACTOR = 1.5
 _STEP = 0.05
 _LARGEST_STEP = 0.2
 _FAILING_PART = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Measured:
-    """What one window showed.
+class _Samples:
+    """Sums over the calls that ended under one limit."""
 
-    Attributes:
-        in_use: Mean number of calls in work.
-        latency_s: Mean latency, in seconds.
-        trial: Whether the limit was raised for trial.
-    """
+    __slots__ = ("_in_use_sum", "_square_sum", "_sum_s", "count")
 
-    in_use: float
-    latency_s: float
-    trial: bool
+    def __init__(self):
+        self.count = 0
+        self._sum_s = 0.0
+        self._square_sum = 0.0
+        self._in_use_sum = 0
+
+    @property
+    def mean_s(self) -> float:
+        """Mean latency, in seconds."""
+        return max(1e-6, self._sum_s / self.count)
+
+    @property
+    def in_use(self) -> float:
+        """Mean number of calls in work."""
+        return self._in_use_sum / self.count
+
+    @property
+    def relative_variance(self) -> float:
+        """Squared standard error of the mean, over the squared mean."""
+        mean_s = self.mean_s
+        variance = max(0.0, self._square_sum / self.count - mean_s**2)
+        return variance / mean_s**2 / self.count
+
+    def add(self, latency_s: float, in_use: int) -> None:
+        """Adds one call."""
+        self.count += 1
+        self._sum_s += latency_s
+        self._square_sum += latency_s**2
+        self._in_use_sum += in_use
+
+    def merge(self, other: "_Samples") -> None:
+        """Adds the calls of another window."""
+        self.count += other.count
+        self._sum_s += other._sum_s
+        self._square_sum += other._square_sum
+        self._in_use_sum += other._in_use_sum
 
 
 class AdaptiveLimit:
     """A concurrency limit that follows the backend server's latency."""
 
     def __init__(self, start: int):
-        self._centre = float(start)
-        self._step = 0.0
-        self._trial = False
-        self._previous: Measured | None = None
-        self._begin()
+        self.restart(start)
 
     @property
     def value(self) -> int:
         """The limit in force."""
-        base = math.ceil(self._centre)
-        if not self._trial:
-            return base
-        return max(base + 1, math.ceil(base * _TRIAL_FACTOR))
+        return self._value
 
     def restart(self, start: int) -> None:
         """Starts anew from a size that the backend server announced."""
         self._centre = float(min(max(start, SMALLEST_LIMIT), LARGEST_LIMIT))
         self._step = 0.0
-        self._trial = False
-        self._previous = None
+        self._drop_evidence()
         self._begin()
 
     def observe(self, latency_s: float, in_use: int, failed: bool) -> None:
@@ -85,54 +111,60 @@
         if failed:
             self._failures += 1
         else:
-            self._samples += 1
-            self._latency_sum_s += latency_s
-            self._in_use_sum += in_use
-        if self._samples + self._failures >= self._wanted:
+            self._window.add(latency_s, in_use)
+        if self._window.count + self._failures >= self._wanted:
             self._end_window()
+            self._begin()
 
     def _begin(self) -> None:
-        self._settling = self.value
-        self._wanted = max(_FEWEST_SAMPLES, self.value)
-        self._samples = 0
+        self._value = math.ceil(self._centre)
+        if self._trial:
+            trial = math.ceil(self._value * _TRIAL_FACTOR)
+            self._value = max(self._value + 1, trial)
+        self._settling = self._value
+        self._wanted = max(_FEWEST_SAMPLES, self._value)
         self._failures = 0
-        self._latency_sum_s = 0.0
-        self._in_use_sum = 0
+        self._window = _Samples()
+
+    def _drop_evidence(self) -> None:
+        self._trial = False
+        self._plain = _Samples()
+        self._raised = _Samples()
 
     def _end_window(self) -> None:
-        total = self._samples + self._failures
-        if self._failures >= total * _FAILING_PART:
+        if self._failures >= self._wanted * _FAILING_PART:
             self._move(-1.0)
-            self._previous = None
-        else:
-            self._judge(
-                Measured(
-                    self._in_use_sum / self._samples,
-                    max(1e-6, self._latency_sum_s / self._samples),
-                    self._trial,
-                )
-            )
-        self._begin()
-
-    def _judge(self, found: Measured) -> None:
-        if found.in_use < self.value * _BINDING_PART:
+            return
+        if self._window.in_use < self._value * _BINDING_PART:
             # Nothing was held back, so there is nothing to learn, and a
             # trial now would be no trial.
-            self._previous = None
-            self._trial = False
+            self._drop_evidence()
             return
-        previous = self._previous
-        self._previous = found
+        self._gather()
         self._trial = not self._trial
-        if previous is None or previous.trial == found.trial:
-            return
-        low, high = sorted((previous, found), key=lambda one: one.trial)
-        if high.in_use <= low.in_use:
+        if self._plain.count and self._raised.count:
+            self._decide()
+
+    def _gather(self) -> None:
+        samples = self._raised if self._trial else self._plain
+        if samples.count:
+            ratio = self._window.mean_s / samples.mean_s
+            if not 1 / _CHANGED_FACTOR < ratio < _CHANGED_FACTOR:
+                self._drop_evidence()
+                return
+        samples.merge(self._window)
+
+    def _decide(self) -> None:
+        plain, raised = self._plain, self._raised
+        if raised.in_use <= plain.in_use:
             return
-        elasticity = math.log(high.latency_s / low.latency_s) / math.log(
-            high.in_use / low.in_use
-        )
-        self._move(-1.0 if elasticity > _QUEUEING_ELASTICITY else 1.0)
+        rise = math.log(raised.mean_s / plain.mean_s)
+        expected = _QUEUEING_ELASTICITY * math.log(raised.in_use / plain.in_use)
+        error = math.sqrt(plain.relative_variance + raised.relative_variance)
+        if abs(rise - expected) > _SURE * error:
+            self._move(1.0 if rise < expected else -1.0)
+        elif plain.count > _MOST_SAMPLES:
+            self._drop_evidence()
 
     def _move(self, direction: float) -> None:
         # Steps grow while they agree, so that an announcement that is wrong
@@ -144,6 +176,7 @@
         self._step = grown * direction
         moved = self._centre * (1 + self._step)
         self._centre = min(max(moved, SMALLEST_LIMIT), LARGEST_LIMIT)
+        self._drop_evidence()
 
 
 def create_adaptive_limit(start: int) -> AdaptiveLimit:
--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -142,7 +142,6 @@
         if self._in_vain(call):
             return self._refuse(call, outcomes.TOO_LATE)
         if self._in_use < self.limit and not self._queue:
-            self._queue.charge(call.client_account)
             return self._admit(call.client_account, call.route)
         return self._join(call)
 
--- a/src/savorybend/internal/fairqueue.py
+++ b/src/savorybend/internal/fairqueue.py
@@ -25,6 +25,9 @@
     token: typing.Any
 
 
+# Accounts that wait for nothing are remembered up to this number.
+_MOST_IDLE = 1000
+
 _Account = collections.deque[Waiter]
 
 
@@ -32,7 +35,9 @@
     """Orders waiters by priority, fair share across accounts, and age.
 
     Each account has a virtual time that advances by 1/weight with each call
-    it is given, in whatever class; the account furthest behind goes first.
+    it is given out of the queue, in whatever class; the account furthest
+    behind goes first. Calls that needn't wait aren't counted, since they took
+    nothing from anybody.
     """
 
     def __init__(
@@ -95,7 +100,7 @@
         queue = accounts[name]
         waiter = queue.pop() if newest_first else queue.popleft()
         self._removed(number, name)
-        self.charge(waiter.client_account)
+        self._charge(name)
         return waiter
 
     def drop(self, newest_first: bool) -> Waiter:
@@ -129,18 +134,18 @@
         self._removed(number, name)
         return True
 
-    def charge(self, client_account: str) -> None:
-        """Counts a call that was given to the backend server."""
-        if not self._switches.fairness:
-            return
-        start = self._virtual_of(client_account, self._virtual_now)
-        after = start + 1 / self._weight_of(client_account)
-        self._virtual[client_account] = after
+    def _charge(self, name: str) -> None:
+        """Counts a call that an account was given while others waited."""
+        if self._switches.fairness:
+            self._virtual[name] += 1 / self._weight_of(name)
         if self._waiting:
             self._virtual_now = min(self._virtual[n] for n in self._waiting)
-        else:
-            # Nobody is short of capacity, so past use is forgotten.
-            self._virtual.clear()
+        elif len(self._virtual) > _MOST_IDLE:
+            self._virtual = {
+                known: value
+                for known, value in self._virtual.items()
+                if value > self._virtual_now
+            }
 
     def _virtual_of(self, account: str, least: float = 0.0) -> float:
         return max(self._virtual.get(account, least), least)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,7 @@
 """Hand-driven fakes at the interfaces."""
 
+from savorybend.internal import calls
+
 
 class ManualClock:
     """A clock that moves only when told."""
@@ -16,3 +18,22 @@
 
 def create_clock() -> ManualClock:
     return ManualClock()
+
+
+def create_call(**fields) -> calls.Call:
+    """Returns a call; fields that aren't given are plain."""
+    plain = calls.Call(
+        request_id="east-1.1.1",
+        client_account="maruyama",
+        route="back",
+        service="back",
+        priority=5,
+        idempotent=True,
+        method="GET",
+        target="/back",
+        headers=[],
+        deadline_s=2000.0,
+        retries=3,
+        depth=0,
+    )
+    return plain._replace(**fields)
