--- a/src/savorybend/internal/admission.py
+++ b/src/savorybend/internal/admission.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import math
 import random
 
 from savorybend.internal import calls
@@ -26,6 +25,8 @@
 _TIGHTENING_PART = 0.5
 _SMALLEST_EASING = 0.05
 _LARGEST_EASING = 2.0
+# What is left of a threshold after a window in which nobody waited.
+_IDLE_PART = 0.1
 
 _SOONEST_RETURN_S = 0.5
 _RETURN_S_PER_LEVEL = 0.5
@@ -65,6 +66,7 @@
         self._offered: collections.Counter[int] = collections.Counter()
         self._served = 0
         self._shed = 0
+        self._queued = False
         self._window_ends_s = clock.now_s() + _WINDOW_S
 
     @property
@@ -86,6 +88,10 @@
         """Notes that a call was refused for want of capacity."""
         self._shed += 1
 
+    def queued(self) -> None:
+        """Notes that a call had to wait."""
+        self._queued = True
+
     def _roll(self) -> None:
         late_s = self._clock.now_s() - self._window_ends_s
         if late_s < 0:
@@ -99,11 +105,15 @@
     def _end_window(self) -> None:
         if self._shed:
             self._tighten()
+        elif not self._queued:
+            # There is room to spare, so refusing upstream saves nothing.
+            self._set(self._threshold * _IDLE_PART)
         else:
             self._ease()
         self._offered.clear()
         self._served = 0
         self._shed = 0
+        self._queued = False
 
     def _tighten(self) -> None:
         self._easing = _SMALLEST_EASING
@@ -128,11 +138,13 @@
     def _ease(self) -> None:
         if self._threshold <= 0:
             return
-        self._threshold = max(0.0, self._threshold - self._easing)
+        self._set(self._threshold - self._easing)
         self._easing = min(_LARGEST_EASING, self._easing * 2)
-        if math.isclose(self._threshold, 0.0):
-            self._threshold = calls.NO_THRESHOLD
-            self._easing = _SMALLEST_EASING
+
+    def _set(self, threshold: float) -> None:
+        if threshold < _SMALLEST_EASING:
+            threshold = calls.NO_THRESHOLD
+        self._threshold = threshold
 
 
 def create_controller(clock: timers.Clock) -> Controller:
--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -166,6 +166,7 @@
             (future, call),
         )
         self._queue.push(waiter)
+        self._controller.queued()
         if len(self._queue) > self.limit * _WAITING_PER_SLOT:
             dropped = self._queue.drop(self._newest_first())
             if dropped is waiter:
--- a/src/savorybend/internal/sights.py
+++ b/src/savorybend/internal/sights.py
@@ -18,7 +18,7 @@
 _FADING_PER_S = 2.0
 # Calls of one route don't all meet the overloaded service, so a lower
 # threshold is believed by and by.
-_RELIEF_PART = 0.2
+_RELIEF_PART = 0.5
 
 _FAULTS = frozenset(
     {
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -104,7 +104,11 @@
             if not request.path.startswith(prefix):
                 continue
             method, _, path = asked.partition(":")
-            answers.append(await self._call_child(request, method, path))
+            for _ in range(self._options.child_tries):
+                answer = await self._call_child(request, method, path)
+                if answer["status"] < 400:
+                    break
+            answers.append(answer)
         return answers
 
     async def _call_child(self, request, method, path):
@@ -210,6 +214,7 @@
     parser.add_argument("--slots", type=int, default=16)
     parser.add_argument("--work-ms", type=float, default=5.0)
     parser.add_argument("--cold-s", type=float, default=0.0)
+    parser.add_argument("--child-tries", type=int, default=1)
     parser.add_argument(
         "--child",
         action="append",
--- a/standins/site.py
+++ b/standins/site.py
@@ -31,6 +31,8 @@
         slots: The backend server's slots.
         work_ms: The backend server's time for a call, in milliseconds.
         children: What it calls: `PREFIX=METHOD:PATH`.
+        child_tries: How often it tries each child call.
+        cold_s: How long after its start it is slow, in seconds.
     """
 
     name: str
@@ -39,6 +41,8 @@
     slots: int = 16
     work_ms: float = 2.0
     children: tuple[str, ...] = ()
+    child_tries: int = 1
+    cold_s: float = 0.0
 
 
 class Addresses(typing.NamedTuple):
@@ -133,6 +137,8 @@
         options += ["--service", worker.service]
         options += ["--slots", str(worker.slots)]
         options += ["--work-ms", str(worker.work_ms)]
+        options += ["--child-tries", str(worker.child_tries)]
+        options += ["--cold-s", str(worker.cold_s)]
         for child in worker.children:
             options += ["--child", child]
         await self._start(backend_of(name), "standins.backend", *options)
