Steer the threshold by smoothed counts

Cause: counts of single windows made the threshold swing, and accounts that came at the wrong moment were refused whatever their share.

--- a/bench/surgefigures.py
+++ b/bench/surgefigures.py
@@ -49,8 +49,16 @@
 
 
 def goodput_part(surge: Surge) -> float:
-    """Returns goodput during the surge as a part of capacity."""
-    whole = sum(record.whole for record in surge.during())
+    """Returns goodput during the surge as a part of capacity.
+
+    An answer counts when it came, so that a queue which is worked off later
+    isn't taken for capacity.
+    """
+    start_s, end_s = surge.times.before_s, surge.times.surge_ends_s
+    whole = sum(
+        record.whole and start_s <= record.ended_s < end_s
+        for record in surge.records
+    )
     return whole / surge.times.surge_s / surge.plan.capacity_per_s()
 
 
--- a/src/savorybend/internal/admission.py
+++ b/src/savorybend/internal/admission.py
@@ -6,7 +6,6 @@
 decides: what accounts send above an even share.
 """
 
-import collections
 import random
 
 from savorybend.internal import calls
@@ -22,7 +21,12 @@
 # More than capacity is let through, so that the queue beside the backend
 # server, which orders calls exactly, is never empty for want of knowledge.
 _HEADROOM = 1.1
-_TIGHTENING_PART = 0.5
+# Counts of earlier windows still weigh so much, since those of one window
+# are too few to steer by: the threshold would swing, and accounts that come
+# at the wrong moment would be refused whatever their share.
+_KEPT_PART = 0.7
+_GAIN = 0.4
+_LARGEST_OPENING = 0.2
 _SMALLEST_EASING = 0.05
 _LARGEST_EASING = 2.0
 # What is left of a threshold after a window in which nobody waited.
@@ -63,8 +67,8 @@
         self._clock = clock
         self._threshold = calls.NO_THRESHOLD
         self._easing = _SMALLEST_EASING
-        self._offered: collections.Counter[int] = collections.Counter()
-        self._served = 0
+        self._offered: dict[int, float] = {}
+        self._served = 0.0
         self._shed = 0
         self._queued = False
         self._window_ends_s = clock.now_s() + _WINDOW_S
@@ -78,7 +82,7 @@
     def offered(self, priority: int) -> None:
         """Notes that a call arrived."""
         self._roll()
-        self._offered[priority] += 1
+        self._offered[priority] = self._offered.get(priority, 0.0) + 1
 
     def served(self) -> None:
         """Notes that a call was given to the backend server."""
@@ -104,36 +108,37 @@
 
     def _end_window(self) -> None:
         if self._shed:
-            self._tighten()
+            self._steer()
         elif not self._queued:
             # There is room to spare, so refusing upstream saves nothing.
             self._set(self._threshold * _IDLE_PART)
         else:
             self._ease()
-        self._offered.clear()
-        self._served = 0
+        for priority in self._offered:
+            self._offered[priority] *= _KEPT_PART
+        self._served *= _KEPT_PART
         self._shed = 0
         self._queued = False
 
-    def _tighten(self) -> None:
+    def _steer(self) -> None:
         self._easing = _SMALLEST_EASING
         wanted = CLASSES - self._cut(self._served * _HEADROOM)
-        if wanted <= self._threshold:
-            return
-        moved = (wanted - self._threshold) * _TIGHTENING_PART
-        self._threshold = min(HIGHEST, self._threshold + moved)
+        self._set(self._threshold + (wanted - self._threshold) * _GAIN)
 
     def _cut(self, room: float) -> float:
-        """Returns the rank below which offered calls fit into `room`."""
+        """Returns how many classes, parts included, fit into `room`."""
+        present = CLASSES - self._threshold
+        highest = min(float(CLASSES), present + _LARGEST_OPENING)
         for priority in sorted(self._offered):
             count = self._offered[priority]
-            if count > room:
+            if count > room or priority >= present - 1:
                 # What arrived of a class that is cut already is only its
                 # admitted part.
                 part = part_admitted(priority, self._threshold)
-                return priority + room / count * part
+                fitting = priority + part * room / max(count, room / CLASSES)
+                return min(fitting, highest)
             room -= count
-        return float(CLASSES)
+        return highest
 
     def _ease(self) -> None:
         if self._threshold <= 0:
@@ -144,7 +149,7 @@
     def _set(self, threshold: float) -> None:
         if threshold < _SMALLEST_EASING:
             threshold = calls.NO_THRESHOLD
-        self._threshold = threshold
+        self._threshold = min(HIGHEST, threshold)
 
 
 def create_controller(clock: timers.Clock) -> Controller:
--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -22,6 +22,8 @@
 # A queue that hasn't been empty for so long stands: it is no burst.
 _STANDING_S = 0.1
 _SHORTEST_PATIENCE_S = 0.1
+# In a queue that stands, a call waits no longer than so many mean times.
+_PATIENCE_FACTOR = 3.0
 
 
 class Ticket(typing.NamedTuple):
@@ -224,7 +226,7 @@
             waited_s = now_s - waiter.arrived_s
             if left_s <= 0 or self._hopeless(left_s, mean_s):
                 reason = outcomes.TOO_LATE
-            elif standing and waited_s > max(_SHORTEST_PATIENCE_S, mean_s):
+            elif standing and waited_s > self._longest_wait_s(mean_s):
                 reason = outcomes.OVERLOADED
             else:
                 continue
@@ -233,6 +235,9 @@
         if self._queue:
             self._start_sweeping()
 
+    def _longest_wait_s(self, mean_s: float) -> float:
+        return max(_SHORTEST_PATIENCE_S, _PATIENCE_FACTOR * mean_s)
+
     def _hopeless(self, left_s: float, mean_s: float) -> bool:
         return self._switches.deadline and left_s < mean_s / 2
 
