--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -11,6 +11,8 @@
 from tests import fakes
 
 _WINDOW_S = 0.25
+# A backend server as busy as this has calls waiting now and then.
+_BUSY_PART = 0.9
 # The stated target for recovery after a surge.
 _RECOVERY_S = 5.0
 
@@ -27,6 +29,8 @@
                 arrived += 1
         for number in range(arrived):
             controller.served() if number < room else controller.shed()
+        if arrived >= _BUSY_PART * room:
+            controller.queued()
         clock.advance(_WINDOW_S)
     return arrived
 
