--- a/bench/surge.py
+++ b/bench/surge.py
@@ -42,10 +42,12 @@
     Attributes:
         off: Mechanisms that are off; see `experiments`.
         child_tries: How often backend servers try a child call.
+        cold_s: How long they are slow after their start, in seconds.
     """
 
     off: tuple[str, ...] = ()
     child_tries: int = 1
+    cold_s: float = 0.0
 
 
 _MECHANISMS = tuple(n for n in experiments.Switches._fields if n != "control")
@@ -63,7 +65,9 @@
     """Starts a plan's processes under a policy; returns the accounts' keys."""
     await site.add(
         [
-            worker._replace(child_tries=policy.child_tries)
+            worker._replace(
+                child_tries=policy.child_tries, cold_s=policy.cold_s
+            )
             for worker in plan.workers()
         ],
         EXPERIMENT=",".join(policy.off),
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -33,6 +33,7 @@
         self.slow = 1.0
         self.fail = False
         self.report = None
+        self.announced = options.slots
         self.draining = False
         self.runs = collections.Counter()
         self.cancelled = 0
@@ -129,9 +130,9 @@
         base = f"http://{self._options.daemon}/savorybend/v1/backend"
         announcement = {
             "address": self._options.listen,
-            "slots": self._options.slots,
         }
         while True:
+            announcement["slots"] = self.announced
             try:
                 if not self.draining:
                     async with self._session.put(base, json=announcement):
@@ -164,11 +165,12 @@
         )
 
     async def control(self, request):
-        """Sets faults: slow, fail, report, drain."""
+        """Sets faults: slow, fail, report, announced, drain."""
         wanted = await request.json()
         self.slow = wanted.get("slow", self.slow)
         self.fail = wanted.get("fail", self.fail)
         self.report = wanted.get("report", self.report)
+        self.announced = wanted.get("announced", self.announced)
         if wanted.get("drain"):
             await self.drain()
         return web.json_response({})
