--- a/src/savorybend/internal/fairqueue.py
+++ b/src/savorybend/internal/fairqueue.py
@@ -6,6 +6,11 @@
 
 from savorybend.internal import experiments
 
+# Accounts that wait for nothing are remembered up to this number.
+_MOST_IDLE = 1000
+
+_WeightOf = collections.abc.Callable[[str], float]
+
 
 class Waiter(typing.NamedTuple):
     """A call that waits.
@@ -25,67 +30,115 @@
     token: typing.Any
 
 
-# Accounts that wait for nothing are remembered up to this number.
-_MOST_IDLE = 1000
-
-_Account = collections.deque[Waiter]
-
-
-class FairQueue:
-    """Orders waiters by priority, fair share across accounts, and age.
+class _Class:
+    """The waiters of one class, in a queue for each account.
 
     Each account has a virtual time that advances by 1/weight with each call
-    it is given out of the queue, in whatever class; the account furthest
-    behind goes first. Calls that needn't wait aren't counted, since they took
-    nothing from anybody.
+    it is given out of the queue; the account furthest behind goes first.
+    Calls that needn't wait aren't counted, since they took nothing from
+    anybody.
     """
 
-    def __init__(
-        self,
-        weight_of: collections.abc.Callable[[str], float],
-        switches: experiments.Switches,
-    ):
+    def __init__(self, weight_of: _WeightOf):
         self._weight_of = weight_of
-        self._switches = switches
-        self._classes: dict[int, dict[str, _Account]] = {}
         self._virtual: dict[str, float] = {}
         self._virtual_now = 0.0
-        self._waiting: collections.Counter[str] = collections.Counter()
-        self._size = 0
+        self.queues: dict[str, collections.deque[Waiter]] = {}
+        self.size = 0
+
+    def push(self, name: str, waiter: Waiter) -> None:
+        """Adds a waiter to an account's queue."""
+        queue = self.queues.get(name)
+        if queue is None:
+            queue = self.queues[name] = collections.deque()
+            # An account that was idle starts level with the others: unused
+            # capacity is not saved up.
+            known = self._virtual.get(name, self._virtual_now)
+            self._virtual[name] = max(known, self._virtual_now)
+        queue.append(waiter)
+        self.size += 1
+
+    def pop(self, newest_first: bool) -> Waiter:
+        """Removes and returns the waiter who goes next."""
+        name = min(self.queues, key=self._virtual.__getitem__)
+        queue = self.queues[name]
+        waiter = queue.pop() if newest_first else queue.popleft()
+        self._virtual_now = self._virtual[name]
+        self._virtual[name] += 1 / self._weight_of(name)
+        self._removed(name)
+        return waiter
+
+    def drop(self, newest_first: bool) -> Waiter:
+        """Removes and returns the waiter who matters least."""
+        name = max(self.queues, key=self._virtual_end)
+        queue = self.queues[name]
+        waiter = queue.popleft() if newest_first else queue.pop()
+        self._removed(name)
+        return waiter
+
+    def remove(self, name: str, waiter: Waiter) -> bool:
+        """Removes a waiter; returns whether it was there."""
+        queue = self.queues.get(name)
+        if queue is None or waiter not in queue:
+            return False
+        queue.remove(waiter)
+        self._removed(name)
+        return True
+
+    def _virtual_end(self, name: str) -> float:
+        """Returns an account's virtual time once its queue was served."""
+        waiting = len(self.queues[name])
+        return self._virtual[name] + waiting / self._weight_of(name)
+
+    def _removed(self, name: str) -> None:
+        self.size -= 1
+        if self.queues[name]:
+            return
+        del self.queues[name]
+        if not self.queues and len(self._virtual) > _MOST_IDLE:
+            self._virtual = {
+                known: value
+                for known, value in self._virtual.items()
+                if value > self._virtual_now
+            }
+
+
+class FairQueue:
+    """Orders waiters by priority, fair share across accounts, and age."""
+
+    def __init__(self, weight_of: _WeightOf, switches: experiments.Switches):
+        self._weight_of = weight_of
+        self._switches = switches
+        self._classes: dict[int, _Class] = {}
 
     def __len__(self) -> int:
-        return self._size
+        return sum(one.size for one in self._classes.values())
 
     @property
     def waiters(self) -> list[Waiter]:
         """Everyone who waits, in no particular order."""
         return [
             waiter
-            for accounts in self._classes.values()
-            for queue in accounts.values()
+            for one in self._classes.values()
+            for queue in one.queues.values()
             for waiter in queue
         ]
 
     def ahead_of(self, priority: int) -> int:
         """Returns how many waiters of more important classes there are."""
         return sum(
-            len(queue)
-            for number, accounts in self._classes.items()
+            one.size
+            for number, one in self._classes.items()
             if number < priority
-            for queue in accounts.values()
         )
 
     def push(self, waiter: Waiter) -> None:
         """Adds a waiter; those of one account are in order of arrival."""
-        accounts = self._classes.setdefault(self._class_of(waiter), {})
-        name = self._account_of(waiter)
-        accounts.setdefault(name, collections.deque()).append(waiter)
-        if not self._waiting[name]:
-            # An account that was idle starts level with the others: unused
-            # capacity is not saved up.
-            self._virtual[name] = self._virtual_of(name, self._virtual_now)
-        self._waiting[name] += 1
-        self._size += 1
+        number = self._class_of(waiter)
+        found = self._classes.get(number)
+        if found is None:
+            found = self._classes[number] = _Class(self._weight_of)
+        found.push(self._account_of(waiter), waiter)
 
     def pop(self, newest_first: bool) -> Waiter:
         """Removes and returns the waiter who goes next.
@@ -94,14 +147,8 @@
             newest_first: Whether an account's newest call goes before its
                 oldest one.
         """
-        number = min(self._classes)
-        accounts = self._classes[number]
-        name = min(accounts, key=self._virtual_of)
-        queue = accounts[name]
-        waiter = queue.pop() if newest_first else queue.popleft()
-        self._removed(number, name)
-        self._charge(name)
-        return waiter
+        number = min(n for n, one in self._classes.items() if one.size)
+        return self._classes[number].pop(newest_first)
 
     def drop(self, newest_first: bool) -> Waiter:
         """Removes and returns the waiter who matters least.
@@ -110,45 +157,15 @@
         ahead of its share, counting what it has waiting; the oldest where
         the newest goes first, and the newest otherwise.
         """
-        number = max(self._classes)
-        accounts = self._classes[number]
-        name = max(
-            accounts,
-            key=lambda one: (
-                self._virtual_of(one)
-                + len(accounts[one]) / self._weight_of(one)
-            ),
-        )
-        queue = accounts[name]
-        waiter = queue.popleft() if newest_first else queue.pop()
-        self._removed(number, name)
-        return waiter
+        number = max(n for n, one in self._classes.items() if one.size)
+        return self._classes[number].drop(newest_first)
 
     def remove(self, waiter: Waiter) -> bool:
         """Removes a waiter; returns whether it was there."""
-        number, name = self._class_of(waiter), self._account_of(waiter)
-        queue = self._classes.get(number, {}).get(name)
-        if queue is None or waiter not in queue:
+        found = self._classes.get(self._class_of(waiter))
+        if found is None:
             return False
-        queue.remove(waiter)
-        self._removed(number, name)
-        return True
-
-    def _charge(self, name: str) -> None:
-        """Counts a call that an account was given while others waited."""
-        if self._switches.fairness:
-            self._virtual[name] += 1 / self._weight_of(name)
-        if self._waiting:
-            self._virtual_now = min(self._virtual[n] for n in self._waiting)
-        elif len(self._virtual) > _MOST_IDLE:
-            self._virtual = {
-                known: value
-                for known, value in self._virtual.items()
-                if value > self._virtual_now
-            }
-
-    def _virtual_of(self, account: str, least: float = 0.0) -> float:
-        return max(self._virtual.get(account, least), least)
+        return found.remove(self._account_of(waiter), waiter)
 
     def _class_of(self, waiter: Waiter) -> int:
         return waiter.priority if self._switches.priority else 0
@@ -156,20 +173,9 @@
     def _account_of(self, waiter: Waiter) -> str:
         return waiter.client_account if self._switches.fairness else ""
 
-    def _removed(self, number: int, name: str) -> None:
-        self._size -= 1
-        self._waiting[name] -= 1
-        if not self._waiting[name]:
-            del self._waiting[name]
-        accounts = self._classes[number]
-        if not accounts[name]:
-            del accounts[name]
-        if not accounts:
-            del self._classes[number]
-
 
 def create_fair_queue(
-    weight_of: collections.abc.Callable[[str], float],
+    weight_of: _WeightOf,
     switches: experiments.Switches = experiments.ALL_ON,
 ) -> FairQueue:
     """Returns an empty queue.
