--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -56,6 +56,8 @@
 _SPREAD_S = 1.0
 # Lets the last messages out before the connections close.
 _LAST_WORD_S = 0.2
+# Callers without a key share one account that no configuration describes.
+_OPEN_WEIGHT = 1.0
 
 _log = logs.get()
 
@@ -106,7 +108,9 @@
             settings.name, settings.journal_entries
         )
         self._limiter = self._create_limiter()
-        self._gate = concurrency.create_gate(clock)
+        self._gate = concurrency.create_gate(
+            self._timers, self._weight_of, settings.experiment
+        )
         self._server = backendserver.create_backend_server(self._gate)
         self._server.subscribe(self._on_backend_server)
         self._handles = handles.create_handles()
@@ -206,6 +210,11 @@
                 members.DRAINING if drained else members.SERVING
             )
 
+    def _weight_of(self, client_account: str) -> float:
+        current = self._configuration.in_force
+        account = current and current.accounts.get(client_account)
+        return account.weight if account else _OPEN_WEIGHT
+
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -274,7 +283,7 @@
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
-                tracker=choice.create_tracker(random.Random()),
+                tracker=self._create_tracker(clock),
                 local=self._serving,
                 forwarder=forwarder,
             )
@@ -302,6 +311,13 @@
             )
         )
 
+    def _create_tracker(self, clock: timers.Clock) -> choice.Tracker:
+        tracker = choice.create_tracker(
+            random.Random(), clock, self._weight_of, self._settings.experiment
+        )
+        self._directory.subscribe(tracker.on_change)
+        return tracker
+
     def _create_recovery(self, clock: timers.Clock) -> recovering.Recovery:
         inquirer = inquiries.create_inquirer(
             inquiries.Parts(self._transport, self._journal, self._records)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import random
 
+from savorybend.internal import calls
 from savorybend.internal import configspread
 from savorybend.internal import configstore
 from savorybend.internal import contact
@@ -174,3 +175,22 @@
     for member in fleet.members.values():
         member.membership.take(updates)
     return fleet
+
+
+def create_call(**fields) -> calls.Call:
+    """Returns a call; fields that aren't given are plain."""
+    plain = calls.Call(
+        request_id="east-1.1.1",
+        client_account="maruyama",
+        route="back",
+        service="back",
+        priority=5,
+        idempotent=True,
+        method="GET",
+        target="/back",
+        headers=[],
+        deadline_s=2000.0,
+        retries=3,
+        depth=0,
+    )
+    return plain._replace(**fields)
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -14,6 +14,7 @@
 from savorybend.internal import routing
 
 _NAMES = ("back-1", "back-2", "back-3")
+from tests import fakes
 
 
 def _record(name, service="back"):
@@ -90,7 +91,7 @@
 )
 def test_tries_are_bounded_and_the_outcome_is_true(script, retries, idempotent):
     fleet = _Fleet(script)
-    tracker = choice.create_tracker(random.Random(1))
+    tracker = choice.create_tracker(random.Random(1), fakes.create_clock())
     parts = routing.Parts(_directory(), tracker, None, fleet)
     router = routing.create_router(parts)
     call = _call(idempotent, retries)
