--- a/src/savorybend/internal/members.py
+++ b/src/savorybend/internal/members.py
@@ -70,6 +70,7 @@
         self._own_name = own.name
         self._records: dict[str, Record] = {}
         self._by_service: dict[str, tuple[Record, ...]] = {}
+        self._taking_work: dict[str, dict[str, Record]] = {}
         self._keys: dict[str, str] = {}
         self._listeners: list[Listener] = []
         self.put(own)
@@ -102,8 +103,10 @@
             return False
         if known is not None:
             self._keys.pop(known.public_key, None)
+            self._unlist(known)
         self._records[record.name] = record
         self._keys[record.public_key] = record.name
+        self._list(record)
         self._changed(Joined(record))
         return True
 
@@ -116,6 +119,7 @@
             return False
         del self._records[name]
         self._keys.pop(known.public_key, None)
+        self._unlist(known)
         self._changed(Gone(known))
         return True
 
@@ -124,19 +128,22 @@
         self._listeners.append(listener)
 
     def _changed(self, change: Change) -> None:
-        self._index()
         metrics.MEMBERS.set(len(self._records))
         for listener in self._listeners:
             listener(change)
 
-    def _index(self) -> None:
-        found: dict[str, list[Record]] = {}
-        for record in self._records.values():
-            if record.state == SERVING:
-                found.setdefault(record.service, []).append(record)
-        self._by_service = {
-            service: tuple(records) for service, records in found.items()
-        }
+    def _list(self, record: Record) -> None:
+        if record.state == SERVING:
+            # Only one service's tuple is made anew: a daemon that starts
+            # takes a thousand records at once.
+            listed = self._taking_work.setdefault(record.service, {})
+            listed[record.name] = record
+            self._by_service[record.service] = tuple(listed.values())
+
+    def _unlist(self, record: Record) -> None:
+        listed = self._taking_work.get(record.service, {})
+        if listed.pop(record.name, None) is not None:
+            self._by_service[record.service] = tuple(listed.values())
 
 
 def create_directory(own: Record) -> Directory:
--- a/src/savorybend/internal/repair.py
+++ b/src/savorybend/internal/repair.py
@@ -51,13 +51,13 @@
         Raises:
             errors.PeerUnreachableError: The peer can't be reached.
         """
-        if not signatures.is_label(message.node):
+        if not signatures.is_leaf(message.node):
             return
         theirs = {summary.name: summary for summary in message.entries}
         newer = [
             self._roster.update_of(entry)
-            for entry in self._below(message.node)
-            if _is_newer(entry, theirs.get(entry.record.name))
+            for entry in self._roster.below(message.node)
+            if is_newer(entry, theirs.get(entry.record.name))
         ]
         if newer:
             self._send(peer, self._wrap(newer[:_MOST_UPDATES]))
@@ -69,26 +69,22 @@
         self._send(peer, wire.Signatures(node, children))
 
     def _leaf(self, node: str, answer: bool) -> wire.Leaf:
-        entries = [
-            wire.Summary(
-                entry.record.name,
-                entry.record.incarnation,
-                entry.record.revision,
-                entry.state,
-            )
-            for entry in self._below(node)
-        ]
+        entries = [summary_of(entry) for entry in self._roster.below(node)]
         return wire.Leaf(node, entries, answer)
 
-    def _below(self, node: str) -> list[rosters.Entry]:
-        return [
-            entry
-            for entry in self._roster.entries()
-            if signatures.leaf_of(entry.record.name).startswith(node)
-        ]
+
+def summary_of(entry: rosters.Entry) -> wire.Summary:
+    """Returns the version of an entry."""
+    return wire.Summary(
+        entry.record.name,
+        entry.record.incarnation,
+        entry.record.revision,
+        entry.state,
+    )
 
 
-def _is_newer(entry: rosters.Entry, theirs: wire.Summary | None) -> bool:
+def is_newer(entry: rosters.Entry, theirs: wire.Summary | None) -> bool:
+    """Returns whether an entry is newer than what a peer knows."""
     if theirs is None:
         return entry.state != rosters.LEFT
     rank = rosters.rank(theirs.state)
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -65,11 +65,11 @@
         self._chart = charts.load("member")
         self._tree = signatures.create_tree()
         self._entries: dict[str, Entry] = {}
+        self._below: dict[str, list[Entry]] = {}
         self._listeners: list[Listener] = []
         self._leaving = False
         own = Entry(directory.own, ALIVE, clock.now_s())
-        self._entries[own.record.name] = own
-        self._toggle(own)
+        self._insert(own)
 
     @property
     def tree(self) -> signatures.Tree:
@@ -93,6 +93,10 @@
         """Returns what is known of every daemon."""
         return self._entries.values()
 
+    def below(self, leaf: str) -> list[Entry]:
+        """Returns the daemons below a leaf of the tree of signatures."""
+        return self._below.get(leaf, [])
+
     def in_state(self, state: str) -> list[Entry]:
         """Returns the daemons in a state."""
         return [e for e in self._entries.values() if e.state == state]
@@ -162,6 +166,7 @@
             if now_s - entry.since_s > _KEEP_S.get(entry.state, math.inf):
                 self._toggle(entry)
                 del self._entries[name]
+                self._below[signatures.leaf_of(name)].remove(entry)
 
     def _take_own(self, update: wire.Update) -> bool:
         own = self.own
@@ -194,12 +199,17 @@
             return False
         since_s = self._clock.now_s() - max(0.0, update.age_s)
         entry = Entry(update.record, update.state, since_s)
-        self._entries[update.record.name] = entry
-        self._toggle(entry)
+        self._insert(entry)
         self._settle(entry)
         self._tell(update)
         return True
 
+    def _insert(self, entry: Entry) -> None:
+        name = entry.record.name
+        self._entries[name] = entry
+        self._below.setdefault(signatures.leaf_of(name), []).append(entry)
+        self._toggle(entry)
+
     def _settle(self, entry: Entry) -> None:
         if entry.state in _PRESENT:
             self._directory.put(entry.record)
--- a/standins/site.py
+++ b/standins/site.py
@@ -91,13 +91,14 @@
         )
         await self._wait_for(self.platform, "/control")
 
-    async def add(self, workers, proxied=False, **settings: str):
+    async def add(self, workers, proxied=False, backends=True, **settings: str):
         """Starts workers, and waits until their daemons listen.
 
         Args:
             workers: What to start.
             proxied: Whether peers reach each daemon through proxies, which
                 `cut` and `heal` control.
+            backends: Whether to start the backend servers too.
             settings: Environment variables of the daemons, by the part of
                 their names after SAVORYBEND_.
         """
@@ -110,7 +111,8 @@
             if proxied:
                 await self._announce_proxies(worker.name)
             await self.start_daemon(worker.name)
-            await self.start_backend(worker.name)
+            if backends:
+                await self.start_backend(worker.name)
         for worker in workers:
             await self.wait_listening(worker.name)
 
