--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -12,9 +12,9 @@
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import routing
+from tests import fakes
 
 _NAMES = ("back-1", "back-2", "back-3")
-from tests import fakes
 
 
 def _record(name, service="back"):
