--- a/src/savorybend/internal/holdings.py
+++ b/src/savorybend/internal/holdings.py
@@ -93,18 +93,28 @@
             if owned.usable_from_s <= now_s
         )
 
-    def entrust(self, allocator: str, now_s: float) -> messages.Entrust:
+    def entrust(
+        self, allocator: str, now_s: float, probe: bool = False
+    ) -> messages.Entrust:
         """Returns the message that entrusts the parts to an allocator.
 
         It carries no parts while another allocator still has them, or while
         this one's stamp isn't known.
+
+        Args:
+            allocator: Its name.
+            now_s: Now.
+            probe: Entrusts nothing, so that an allocator which doesn't
+                answer isn't given the parts for longer.
         """
         stamp = self._stamps.get(allocator, _Stamp(0, 0.0))
         target = (allocator, stamp.incarnation)
         parts: tuple[messages.Part, ...] = ()
-        if self.may_bind(allocator, now_s):
+        rested_s = 0.0
+        if not probe and self.may_bind(allocator, now_s):
             parts = self.usable(now_s)
         if parts:
+            rested_s = self._rested_s(parts, now_s)
             self._bound_to = target
             self._until_s = now_s + allocation.ENTRUST_S
             self._withdrawn_s = float("-inf")
@@ -115,6 +125,7 @@
             now_s,
             parts,
             self._free(now_s),
+            rested_s,
         )
 
     def withdraw(self, now_s: float) -> messages.Withdraw:
@@ -170,6 +181,14 @@
         times = (release.free_from_s for release in self._released.values())
         return max(times, default=float("-inf"))
 
+    def _rested_s(
+        self, parts: tuple[messages.Part, ...], now_s: float
+    ) -> float:
+        if self._until_s == float("-inf"):
+            return 0.0
+        usable = (self._owned[part.index].usable_from_s for part in parts)
+        return max(0.0, now_s - max(self._until_s, *usable))
+
     def _settle_released(self, granted: tuple[messages.Part, ...]) -> None:
         # What the ledger grants no more needn't be reported again, but stays
         # known: an older copy of the ledger must not bring it back.
