Prove which IDs were never started, when their issuer leaves in good order

Cause: an ID that was never used was answered "unknown" once its issuer had been replaced, though most replacements are graceful. Ruled out: believing that every daemon of the service says "never seen", for the reasons in docs/design/outcomes.md.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -43,6 +43,7 @@
 from savorybend.internal import settings as settings_module
 from savorybend.internal import snapshot
 from savorybend.internal import timers
+from savorybend.internal import wills
 from savorybend.internal.wire import limits as wire_limits
 
 _POLL_S = 0.05
@@ -144,6 +145,7 @@
         await self._membership.announce_change(leaving)
         await asyncio.sleep(_SPREAD_S)
         await self._finish_calls()
+        await self._send_will()
         await self._limiter.leave()
         await self._membership.leave()
         for listener in self._listeners:
@@ -160,6 +162,14 @@
         while self._busy() and clock.now_s() < end_s:
             await asyncio.sleep(_POLL_S)
 
+    async def _send_will(self) -> None:
+        self._guard.close()
+        self._wills.send()
+        clock = self._timers.clock
+        end_s = clock.now_s() + _SPREAD_S
+        while self._transport.waiting and clock.now_s() < end_s:
+            await asyncio.sleep(_POLL_S)
+
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
         in_flight += self._guard.in_flight + self._records.running
@@ -216,6 +226,9 @@
             )
         )
         recovery = self._create_recovery(clock)
+        self._wills = wills.create_wills(
+            wills.Parts(self._transport, self._directory, self._issuer)
+        )
         self._guard = guard.create_guard(
             guard.Parts(
                 daemon=own.name,
@@ -235,6 +248,7 @@
                 router=router,
                 forwarder=forwarder,
                 recovery=recovery,
+                wills=self._wills,
             )
         )
 
--- a/src/savorybend/internal/guard.py
+++ b/src/savorybend/internal/guard.py
@@ -40,12 +40,17 @@
 
     def __init__(self, parts: Parts):
         self._parts = parts
+        self._closed = False
 
     @property
     def in_flight(self) -> int:
         """Requests that were started and are not over."""
         return self._parts.records.running
 
+    def close(self) -> None:
+        """Starts nothing from now on, ever."""
+        self._closed = True
+
     def unstarted(self, request_id: requestids.RequestId) -> bool:
         """Returns whether it is certain that nothing ran under an ID."""
         issuer = self._parts.issuer
@@ -65,6 +70,11 @@
                 return calls.not_run(
                     refusal, call.request_id, self._parts.daemon
                 )
+            case issuing.Standing.UNUSED if self._closed:
+                refusal = outcomes.refuse(outcomes.ELSEWHERE)
+                return calls.not_run(
+                    refusal, call.request_id, self._parts.daemon
+                )
             case issuing.Standing.UNUSED:
                 self._parts.issuer.start(parsed)
             case _ if not self._parts.records.find(call.request_id):
--- a/src/savorybend/internal/issuing.py
+++ b/src/savorybend/internal/issuing.py
@@ -9,6 +9,7 @@
 import enum
 
 from savorybend.internal import requestids
+from savorybend.internal.wire import requests as wire
 
 _BLOCK_IDS = 1024
 # Each account has a quota of its own, so that one which takes IDs without end
@@ -117,6 +118,19 @@
         block = self._blocks[request_id.sequence // _BLOCK_IDS]
         block.start(request_id.sequence)
 
+    def unused(self, most: int) -> list[wire.Unused]:
+        """Returns the newest IDs that were issued and never started."""
+        found = []
+        for block in reversed(self._blocks.values()):
+            issued = range(block.first, block.first + block.issued)
+            idle = [s for s in issued if not block.started(s)][-most:]
+            most -= len(idle)
+            if idle:
+                found.append(wire.Unused(block.account, idle))
+            if not most:
+                break
+        return found
+
     def _extend(self, client_account: str) -> collections.deque[_Block]:
         blocks = self._by_account.setdefault(
             client_account, collections.deque()
--- a/src/savorybend/internal/wire/requests.py
+++ b/src/savorybend/internal/wire/requests.py
@@ -76,4 +76,23 @@
     fingerprint: bytes
 
 
-Message = Inquiry | Testimony | Death | Acquittal
+class Unused(msgspec.Struct, frozen=True, array_like=True):
+    """IDs of one client account that were issued and never started."""
+
+    client_account: str
+    sequences: list[int]
+
+
+class Will(msgspec.Struct, frozen=True, array_like=True, tag="requests.will"):
+    """Says which of its IDs a daemon never started, and now never will.
+
+    Attributes:
+        incarnation: The incarnation that issued them.
+        unused: The IDs.
+    """
+
+    incarnation: int
+    unused: list[Unused]
+
+
+Message = Inquiry | Testimony | Death | Acquittal | Will
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -149,6 +149,10 @@
     site.kill(name)
     await site.wait_ended(name)
     await site.start_daemon(name)
+    await _wait_replaced(site, name, request_id)
+
+
+async def _wait_replaced(site, name, request_id):
     await site.wait_listening(name)
     old = int(request_id.split(".")[1], 16)
     async with asyncio.timeout(_DEADLINE_S):
@@ -182,3 +186,24 @@
             # The issuer may have served it itself, so "not run" is no proof.
             assert (answer.outcome, answer.reason) == ("unknown", "issuer-lost")
         assert await _runs(site, request_id) == runs
+
+
+async def test_an_issuer_that_leaves_in_good_order_says_what_is_unused(
+    site, maruyama
+):
+    used, unused = await maruyama.take_ids(site.addresses["back-2"].call, 2)
+    first = await _post(site, maruyama, "back-2", used)
+    site.terminate("back-2")
+    assert await site.wait_ended("back-2") == 0
+    await site.start_daemon("back-2")
+    await _wait_replaced(site, "back-2", used)
+    stranger = callers.Caller(site.session, documents.OTARU.text)
+    for entry in ("front-1", "back-1"):
+        answer = await _post(site, maruyama, entry, unused)
+        assert (answer.outcome, answer.reason) == ("not-run", "never-seen")
+        # Of these it said nothing that proves they did not run.
+        assert first.outcome == "ran"
+        for person, request_id in ((maruyama, used), (stranger, unused)):
+            answer = await _post(site, person, entry, request_id)
+            assert answer.outcome == "unknown"
+    assert await _runs(site, unused) == 0
--- a/tests/unit/test_issuing.py
+++ b/tests/unit/test_issuing.py
@@ -46,3 +46,28 @@
     assert issuer.standing(kept, "otaru") is issuing.Standing.UNUSED
     assert issuer.standing(first, "maruyama") is issuing.Standing.RETIRED
     assert issuer.started(first)
+
+
+@hypothesis.given(
+    takes=strategies.lists(strategies.sampled_from(_ACCOUNTS), max_size=3000),
+    started=strategies.sets(strategies.integers(0, 2999)),
+    most=strategies.integers(1, 3000),
+)
+def test_only_ids_that_were_never_started_are_called_unused(
+    takes, started, most
+):
+    issuer = issuing.create_issuer("back-1", 5)
+    issued = [requestids.parse(issuer.issue(account)) for account in takes]
+    idle = set()
+    for index, request_id in enumerate(issued):
+        if index in started:
+            issuer.start(request_id)
+        else:
+            idle.add((takes[index], request_id.sequence))
+    found = {
+        (each.client_account, sequence)
+        for each in issuer.unused(most)
+        for sequence in each.sequences
+    }
+    assert found <= idle
+    assert len(found) == min(most, len(idle))
