--- a/standins/site.py
+++ b/standins/site.py
@@ -1,6 +1,7 @@
 """Starts a site's processes on loopback: platform, daemons, backend servers."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import os
@@ -186,6 +187,15 @@
         async with self.session.get(url) as answer:
             return await answer.json()
 
+    def effects(self):
+        """Counts the effects of non-GET calls, whoever was killed since."""
+        found = collections.Counter()
+        for name in self.workers:
+            for line in self.log(backend_of(name)).splitlines():
+                if line.startswith("effect "):
+                    found[line.removeprefix("effect ")] += 1
+        return found
+
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
         url = f"http://{self.addresses[name].backend}/control"
@@ -226,6 +236,10 @@
         """Returns the ID of a process."""
         return self._processes[name].pid
 
+    def ended(self, name):
+        """Returns whether a process has ended."""
+        return self._processes[name].returncode is not None
+
     def kill(self, name):
         """Ends a process at once."""
         self._processes[name].kill()
