--- /dev/null
+++ b/tests/integration/started.py
@@ -0,0 +1,26 @@
+"""Sites with a configuration in force."""
+
+import contextlib
+
+import aiohttp
+
+from standins import caller as callers
+from standins import site as sites
+from tests import documents
+
+
+@contextlib.asynccontextmanager
+async def create(workers, described=None, **settings):
+    """Yields a site that runs, and a caller with a key in force."""
+    described = described or documents.create_site()
+    async with (
+        sites.create_site() as site,
+        aiohttp.ClientSession() as session,
+    ):
+        await site.add(workers, **settings)
+        code, output = await site.ctl(
+            "config", "submit", "-", stdin=described.to_json().encode()
+        )
+        assert code == 0, output
+        await site.wait_ready()
+        yield site, callers.Caller(session, documents.MARUYAMA.text)
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 import pytest_asyncio
 
@@ -10,6 +9,7 @@
 from standins import proxy
 from standins import site as sites
 from tests import documents
+from tests.integration import started
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -23,19 +23,19 @@
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def site():
-    async with sites.create_site() as made:
-        await made.add(_WORKERS, proxied=True)
-        document = documents.create_site().to_json().encode()
-        await made.ctl("config", "submit", "-", stdin=document)
-        await made.wait_ready()
-        yield made
+async def made():
+    async with started.create(_WORKERS, proxied=True) as both:
+        yield both
 
 
-@pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def maruyama(site):
-    async with aiohttp.ClientSession() as session:
-        yield callers.Caller(session, documents.MARUYAMA.text)
+@pytest.fixture
+def site(made):
+    return made[0]
+
+
+@pytest.fixture
+def maruyama(made):
+    return made[1]
 
 
 async def _post(site, person, entry, request_id, data=b"3 crates"):
--- a/tests/integration/test_poison.py
+++ b/tests/integration/test_poison.py
@@ -1,12 +1,10 @@
 """A request that crashes backend servers is kept from the next ones."""
 
-import aiohttp
 import pytest
 import pytest_asyncio
 
-from standins import caller as callers
 from standins import site as sites
-from tests import documents
+from tests.integration import started
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -20,19 +18,19 @@
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def site():
-    async with sites.create_site() as made:
-        await made.add(_WORKERS)
-        document = documents.create_site().to_json().encode()
-        await made.ctl("config", "submit", "-", stdin=document)
-        await made.wait_ready()
-        yield made
+async def made():
+    async with started.create(_WORKERS) as both:
+        yield both
 
 
-@pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def maruyama(site):
-    async with aiohttp.ClientSession() as session:
-        yield callers.Caller(session, documents.MARUYAMA.text)
+@pytest.fixture
+def site(made):
+    return made[0]
+
+
+@pytest.fixture
+def maruyama(made):
+    return made[1]
 
 
 async def _send_poison(site, person, method, entry):
--- a/tests/integration/test_retries.py
+++ b/tests/integration/test_retries.py
@@ -3,13 +3,12 @@
 import asyncio
 import collections
 
-import aiohttp
 import pytest
 import pytest_asyncio
 
-from standins import caller as callers
 from standins import site as sites
 from tests import documents
+from tests.integration import started
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -42,25 +41,24 @@
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def site():
+async def made():
     described = documents.create_site()
     for hop in range(_DEPTH):
         described.add_route(
             f"hop{hop}", path=f"/hop{hop}", service=_SERVICES[hop % 3]
         )
-    async with sites.create_site() as made:
-        await made.add(_WORKERS)
-        await made.ctl(
-            "config", "submit", "-", stdin=described.to_json().encode()
-        )
-        await made.wait_ready()
-        yield made
+    async with started.create(_WORKERS, described) as both:
+        yield both
 
 
-@pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def maruyama(site):
-    async with aiohttp.ClientSession() as session:
-        yield callers.Caller(session, documents.MARUYAMA.text)
+@pytest.fixture
+def site(made):
+    return made[0]
+
+
+@pytest.fixture
+def maruyama(made):
+    return made[1]
 
 
 async def _attempts(site, request_id):
--- a/tests/integration/test_schedules.py
+++ b/tests/integration/test_schedules.py
@@ -20,6 +20,7 @@
 from standins import proxy
 from standins import site as sites
 from tests import documents
+from tests.integration import started
 
 _ORDER = ("/front/order=POST:/back/adjust",)
 _WORKERS = (
@@ -235,13 +236,9 @@
 
 async def _start():
     stack = contextlib.AsyncExitStack()
-    site = await stack.enter_async_context(sites.create_site())
     # A VM that drains while a peer is frozen would wait for it a minute.
-    await site.add(_WORKERS, proxied=True, DRAIN_TIMEOUT_S="3")
-    document = documents.create_site().to_json().encode()
-    code, output = await site.ctl("config", "submit", "-", stdin=document)
-    assert code == 0, output
-    await site.wait_ready()
+    making = started.create(_WORKERS, proxied=True, DRAIN_TIMEOUT_S="3")
+    site, _ = await stack.enter_async_context(making)
     session = await stack.enter_async_context(
         aiohttp.ClientSession(timeout=_PATIENCE)
     )
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -3,11 +3,11 @@
 import pytest
 
 from savorybend.internal import bodies
-from savorybend.internal import calls
 from savorybend.internal import members
 from savorybend.internal import quarantine
 from savorybend.internal.wire import requests as wire
 from tests import fakes
+from tests import requests
 
 _BODY = bodies.EMPTY
 
@@ -41,20 +41,7 @@
 
 
 def _call(target, **headers):
-    return calls.Call(
-        "back-1.1.1",
-        client_account="maruyama",
-        route="back",
-        service="back",
-        priority=5,
-        idempotent=True,
-        method="GET",
-        target=target,
-        headers=list(headers.items()),
-        deadline_s=2000.0,
-        retries=0,
-        depth=0,
-    )
+    return requests.create_call(target=target, headers=list(headers.items()))
 
 
 def test_two_deaths_quarantine_this_content_alone(made):
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -7,27 +7,11 @@
 from savorybend.internal import outcomes
 from savorybend.internal import records
 from tests import fakes
+from tests import requests
 
 _PRINT = b"fingerprint"
 
 
-def _call(request_id):
-    return calls.Call(
-        request_id,
-        client_account="maruyama",
-        route="adjust",
-        service="back",
-        priority=0,
-        idempotent=False,
-        method="POST",
-        target="/back/adjust",
-        headers=[],
-        deadline_s=2000.0,
-        retries=0,
-        depth=0,
-    )
-
-
 def _answer(data):
     return calls.Answer(
         200,
@@ -52,7 +36,9 @@
     async def work():
         return _answer(data)
 
-    return await kept.run(_call(request_id), _PRINT, work)
+    return await kept.run(
+        requests.create_call(request_id=request_id), _PRINT, work
+    )
 
 
 async def test_a_long_answer_is_let_go_and_said_to_be():
@@ -73,7 +59,9 @@
         await gate.wait()
         return _answer(b"slow")
 
-    running = asyncio.create_task(kept.run(_call("slow"), _PRINT, slow))
+    running = asyncio.create_task(
+        kept.run(requests.create_call(request_id="slow"), _PRINT, slow)
+    )
     await asyncio.sleep(0)
     for number in range(10):
         await _run(kept, str(number))
@@ -97,5 +85,7 @@
     async def broken():
         raise KeyError("bug")
 
-    answer = await kept.run(_call("a"), _PRINT, broken)
+    answer = await kept.run(
+        requests.create_call(request_id="a"), _PRINT, broken
+    )
     assert answer.outcome is outcomes.Outcome.UNKNOWN
--- /dev/null
+++ b/tests/unit/test_recovering.py
@@ -0,0 +1,66 @@
+"""A lost answer is fetched only from one who has this request's own."""
+
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import fingerprints
+from savorybend.internal import members
+from savorybend.internal import outcomes
+from savorybend.internal import recovering
+from savorybend.internal.wire import requests as wire
+from tests import fakes
+from tests import requests
+
+_ADDRESS = "127.0.0.1:1"
+_BODY = bodies.WholeBody(b"3 crates")
+_CALL = requests.create_call()
+_OTHERWISE = calls.explain(
+    outcomes.Outcome.UNKNOWN, outcomes.ISSUER_LOST, "front-1.1.1", "front-1"
+)
+_NEVER_SEEN = wire.Testimony(1, None)
+_RUNNING = wire.Testimony(1, None, running=True)
+
+
+def _kept(outcome, body=_BODY):
+    fingerprint = fingerprints.of_request(_CALL, body)
+    answer = wire.KeptAnswer(fingerprint, 200, [], outcome, "", "back-1", b"!")
+    return wire.Testimony(1, None, answer=answer)
+
+
+class _Inquirer:
+    """Gives the testimonies of one round after the other."""
+
+    def __init__(self, *rounds):
+        self._rounds = list(rounds)
+
+    async def ask(self, request_id, daemons, timeout_s):
+        assert set(daemons) == {"back-1"}
+        return self._rounds.pop(0)
+
+
+async def _fetch(*rounds, call=_CALL):
+    record = members.Record(
+        "back-1", 1, "east", "back", _ADDRESS, _ADDRESS, _ADDRESS, "key"
+    )
+    parts = recovering.Parts(
+        fakes.create_clock(),
+        members.create_directory(record),
+        _Inquirer(*rounds),
+    )
+    recovery = recovering.create_recovery(parts)
+    return await recovery.fetch(call, _BODY, _OTHERWISE)
+
+
+async def test_a_run_is_waited_for_and_its_answer_given():
+    answer = await _fetch([_RUNNING], [_NEVER_SEEN, _kept("ran")])
+    assert (answer.outcome, answer.body.whole) == ("ran", b"!")
+
+
+async def test_nothing_but_a_decided_answer_of_its_own_counts():
+    other = _kept("ran", bodies.WholeBody(b"4 crates"))
+    for testimony in (_NEVER_SEEN, _kept("not-run"), _kept("unknown"), other):
+        assert await _fetch([testimony]) is _OTHERWISE
+    assert await _fetch([]) is _OTHERWISE
+
+
+async def test_nobody_is_asked_after_the_deadline():
+    assert await _fetch(call=_CALL._replace(deadline_s=1.0)) is _OTHERWISE
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -12,6 +12,7 @@
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import routing
+from tests import requests
 
 _NAMES = ("back-1", "back-2", "back-3")
 
@@ -66,23 +67,6 @@
     return answer._replace(effects=draw(strategies.booleans()))
 
 
-def _call(idempotent, retries):
-    return calls.Call(
-        "front-1.1.1",
-        client_account="maruyama",
-        route="back",
-        service="back",
-        priority=5,
-        idempotent=idempotent,
-        method="GET",
-        target="/back",
-        headers=[],
-        deadline_s=1e9,
-        retries=retries,
-        depth=0,
-    )
-
-
 @hypothesis.given(
     script=strategies.lists(_answers(), min_size=8, max_size=8),
     retries=strategies.integers(0, 6),
@@ -93,7 +77,7 @@
     tracker = choice.create_tracker(random.Random(1))
     parts = routing.Parts(_directory(), tracker, None, fleet)
     router = routing.create_router(parts)
-    call = _call(idempotent, retries)
+    call = requests.create_call(idempotent=idempotent, retries=retries)
     answer = asyncio.run(router.execute(call, bodies.EMPTY))
     given = [each for _, each in fleet.given]
     ran = [e for e in given if e.outcome is not outcomes.Outcome.NOT_RUN]
