Pin that an answer given up is found when it is asked for again

Change: a test freezes the daemon beside the backend server until its peers take it for dead; the call is "unknown", and the request sent again after it resumes gets the answer that ran.

--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -112,6 +112,30 @@
     assert await _runs(site, request_id) == 1
 
 
+async def test_an_answer_given_up_is_found_when_it_is_asked_for_again(
+    site, maruyama
+):
+    request_id = await _take(site, maruyama, "front-1")
+    await site.control("back-1", slow=5)
+    call = asyncio.create_task(_post(site, maruyama, "front-1", request_id))
+    while (await site.record("back-1"))["in_use"] == 0:
+        await asyncio.sleep(_POLL_S)
+    # Its peers take the daemon for dead while the backend server answers it.
+    site.freeze("back-1")
+    assert (await call).outcome == "unknown"
+    site.resume("back-1")
+    await site.control("back-1", slow=1)
+    async with asyncio.timeout(_DEADLINE_S):
+        while True:
+            answer = await _post(site, maruyama, "back-2", request_id)
+            if answer.outcome == "ran":
+                break
+            assert answer.outcome == "unknown"
+            await asyncio.sleep(_POLL_S)
+    assert answer.status == 200
+    assert await _runs(site, request_id) == 1
+
+
 async def test_another_request_under_the_id_is_not_run(site, maruyama):
     request_id = await _take(site, maruyama, "back-1")
     await _post(site, maruyama, "back-1", request_id)
