--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -145,7 +145,11 @@
         live = self._parts.handles.find(request.headers.get(headers.HANDLE, ""))
         if not call.depth or not live:
             return await self._parts.target.execute(call, body)
-        answer = await self._parts.target.execute(call, body)
+        live.child_started(self._parts.clock.now_s())
+        try:
+            answer = await self._parts.target.execute(call, body)
+        finally:
+            live.child_ended(self._parts.clock.now_s())
         self._settle_child(live, call, answer)
         return answer
 
@@ -157,6 +161,7 @@
     ) -> None:
         live.take_back_retries(call.retries, answer.retries_spent)
         live.effects = live.effects or answer.effects
+        live.threshold = max(live.threshold, answer.threshold)
         if answer.outcome is not outcomes.Outcome.RAN or answer.status >= 500:
             live.failed_below = True
 
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -201,7 +201,7 @@
             decided_by=self._parts.daemon,
             retries_spent=live.retries_spent,
             effects=live.effects or not flight.call.idempotent,
-            threshold=self._parts.gate.threshold,
+            threshold=flight.threshold,
             body=body,
         )
 
@@ -238,7 +238,7 @@
             call.request_id,
             self._parts.daemon,
             retries_spent=flight.live.retries_spent,
-            threshold=self._parts.gate.threshold,
+            threshold=flight.threshold,
         )._replace(effects=flight.live.effects or not call.idempotent)
 
 
@@ -262,6 +262,11 @@
         """The call."""
         return self.live.call
 
+    @property
+    def threshold(self) -> float:
+        """The highest threshold at this daemon and behind it."""
+        return max(self._parts.gate.threshold, self.live.threshold)
+
     def end(self, whole: bool) -> None:
         """Gives the ticket and the handle back; ending twice is no error."""
         if self._over:
@@ -270,7 +275,7 @@
         latency_s = self._parts.clock.now_s() - self._ticket.entered_s
         metrics.backend_seconds(self.call.priority).observe(latency_s)
         self._parts.handles.withdraw(self.live)
-        report = concurrency.Report(latency_s, failed=not whole)
+        report = concurrency.Report(latency_s, not whole, self.live.children_s)
         self._parts.gate.leave(self._ticket, report)
 
     def end_of(self, response: aiohttp.ClientResponse):
--- a/standins/site.py
+++ b/standins/site.py
@@ -34,6 +34,8 @@
         slots: The backend server's slots.
         work_ms: The backend server's time for a call, in milliseconds.
         children: What it calls: `PREFIX=METHOD:PATH`.
+        child_tries: How often it tries each child call.
+        cold_s: How long after its start it is slow, in seconds.
     """
 
     name: str
@@ -42,6 +44,8 @@
     slots: int = 16
     work_ms: float = 2.0
     children: tuple[str, ...] = ()
+    child_tries: int = 1
+    cold_s: float = 0.0
 
 
 class Addresses(typing.NamedTuple):
@@ -95,13 +99,14 @@
         )
         await self._wait_for(self.platform, "/control")
 
-    async def add(self, workers, proxied=False, **settings: str):
+    async def add(self, workers, proxied=False, backends=True, **settings: str):
         """Starts workers, and waits until their daemons listen.
 
         Args:
             workers: What to start.
             proxied: Whether peers reach each daemon through proxies, which
                 `cut` and `heal` control.
+            backends: Whether to start the backend servers too.
             settings: Environment variables of the daemons, by the part of
                 their names after SAVORYBEND_.
         """
@@ -114,7 +119,8 @@
             if proxied:
                 await self._announce_proxies(worker.name)
             await self.start_daemon(worker.name)
-            await self.start_backend(worker.name)
+            if backends:
+                await self.start_backend(worker.name)
         for worker in workers:
             await self.wait_listening(worker.name)
 
@@ -144,6 +150,8 @@
         options += ["--service", worker.service]
         options += ["--slots", str(worker.slots)]
         options += ["--work-ms", str(worker.work_ms)]
+        options += ["--child-tries", str(worker.child_tries)]
+        options += ["--cold-s", str(worker.cold_s)]
         for child in worker.children:
             options += ["--child", child]
         await self._start(backend_of(name), "standins.backend", *options)
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -12,6 +12,7 @@
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import routing
+from tests import fakes
 from tests import requests
 
 _NAMES = ("back-1", "back-2", "back-3")
@@ -74,7 +75,7 @@
 )
 def test_tries_are_bounded_and_the_outcome_is_true(script, retries, idempotent):
     fleet = _Fleet(script)
-    tracker = choice.create_tracker(random.Random(1))
+    tracker = choice.create_tracker(random.Random(1), fakes.create_clock())
     parts = routing.Parts(_directory(), tracker, None, fleet)
     router = routing.create_router(parts)
     call = requests.create_call(idempotent=idempotent, retries=retries)
