Exempt a started daemon's objects from garbage collection

Cause: a full collection visits every module and part of the daemon while calls wait. Change: once started, the daemon freezes what exists and collects young objects a fourteenth as often. The socket's events are asked for by number. Measured in one process with the daemon's modules loaded, the shortest of seven: a full collection of 46,744 objects takes 10.2 ms, after the freeze 0.0003 ms. Ruled out: asking whether a socket has a message before each receive; two questions cost 7.2 us, the exception of an empty socket 6.9 us. Conclusion: kept for the pause; its part in p99 is not measured.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -13,6 +13,7 @@
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
+from savorybend.internal import collector
 from savorybend.internal import concurrency
 from savorybend.internal import configstore
 from savorybend.internal import dispatching
@@ -133,6 +134,7 @@
         self._spawn(self._membership.run())
         self._spawn(self._watcher.run())
         self._spawn(self._limiter.keeper.run())
+        collector.settle()
         _log.info("listening", call_address=str(settings.call_address))
 
     async def _stop(self) -> None:
--- a/src/savorybend/internal/connections.py
+++ b/src/savorybend/internal/connections.py
@@ -207,7 +207,8 @@
 
     def _reschedule(self, socket: zmq.Socket, drain, *args) -> None:
         # The descriptor signals only changes, and a send may swallow one.
-        if socket.events & zmq.POLLIN:
+        # The option by number costs two thirds of the attribute.
+        if socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
             self._loop.call_soon(drain, *args)
 
     def _create_socket(self, kind: int) -> zmq.Socket:
@@ -272,8 +273,8 @@
             data = frame.bytes
         else:
             data = router.recv(zmq.NOBLOCK)
-        if router.rcvmore:
-            while router.rcvmore:
+        if router.getsockopt(zmq.RCVMORE):
+            while router.getsockopt(zmq.RCVMORE):
                 router.recv(zmq.NOBLOCK)
             metrics.peer_refusals("garbled").inc()
         elif peer is not None:
