--- a/src/savorybend/internal/settings.py
+++ b/src/savorybend/internal/settings.py
@@ -9,6 +9,7 @@
 
 import savorybend
 from savorybend.internal import errors
+from savorybend.internal import experiments
 from savorybend.internal import logs
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -35,8 +36,10 @@
     call_address: Address
     local_address: Address
     peer_address: Address
-    peer_announce: Address | None
     admin_address: Address
+    announced_call_address: Address | None
+    announced_peer_address: Address | None
+    announced_admin_address: Address | None
     platform_url: str
     seeds: tuple[Address, ...]
     fleet_secret: str
@@ -46,6 +49,7 @@
     drain_timeout_s: float
     journal_entries: int
     log_level: str
+    experiment: experiments.Switches
 
 
 class _Setting(typing.NamedTuple):
@@ -96,6 +100,10 @@
     return text.rstrip("/")
 
 
+def _parse_optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
 def _parse_addresses(text: str) -> tuple[Address, ...]:
     return tuple(parse_address(part) for part in text.split(",") if part)
 
@@ -142,13 +150,25 @@
     ),
     _Setting("peer_address", parse_address, None, "where daemons connect"),
     _Setting(
-        "peer_announce",
+        "admin_address", parse_address, None, "metrics, health and operators"
+    ),
+    _Setting(
+        "announced_call_address",
         _parse_optional_address,
         "",
-        "where daemons are told to connect, if not at the peer address",
+        "where callers reach call_address, if elsewhere",
     ),
     _Setting(
-        "admin_address", parse_address, None, "metrics, health and operators"
+        "announced_peer_address",
+        _parse_optional_address,
+        "",
+        "where daemons reach peer_address, if elsewhere",
+    ),
+    _Setting(
+        "announced_admin_address",
+        _parse_optional_address,
+        "",
+        "where admin_address is reached, if elsewhere",
     ),
     _Setting("platform_url", parse_url, None, "the platform's object API"),
     _Setting(
@@ -188,6 +208,12 @@
         "how many requests the journal keeps",
     ),
     _Setting("log_level", _parse_level, "info", "debug, info, warning, error"),
+    _Setting(
+        "experiment",
+        experiments.parse,
+        "",
+        "mechanisms of overload control to turn off, for benchmarks only",
+    ),
 )
 
 
--- a/src/savorybend/internal/wire/codec.py
+++ b/src/savorybend/internal/wire/codec.py
@@ -4,6 +4,7 @@
 
 from savorybend.internal import errors
 from savorybend.internal.wire import calls
+from savorybend.internal.wire import configuration
 from savorybend.internal.wire import limits
 from savorybend.internal.wire import links
 from savorybend.internal.wire import membership
@@ -11,6 +12,7 @@
 
 Message = (
     calls.Message
+    | configuration.Message
     | limits.Message
     | links.Message
     | membership.Message
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -34,6 +34,7 @@
         self.fail = False
         self.fail_above = False
         self.report = None
+        self.announced = options.slots
         self.draining = False
         self.runs = collections.Counter()
         self.cancelled = 0
@@ -81,7 +82,7 @@
             "body_bytes": size,
             "children": children,
         }
-        failed = any(child["status"] >= 400 for child in children)
+        failed = not all(_whole(child) for child in children)
         headers = {"Savorybend-Outcome": "partial"} if failed else {}
         if _SIZE_HEADER in request.headers:
             return await _stream(request, int(request.headers[_SIZE_HEADER]))
@@ -119,7 +120,11 @@
             if not request.path.startswith(prefix):
                 continue
             method, _, path = asked.partition(":")
-            answers.append(await self._call_child(request, method, path))
+            for _ in range(self._options.child_tries):
+                answer = await self._call_child(request, method, path)
+                if _whole(answer):
+                    break
+            answers.append(answer)
         return answers
 
     async def _call_child(self, request, method, path):
@@ -140,9 +145,9 @@
         base = f"http://{self._options.daemon}/savorybend/v1/backend"
         announcement = {
             "address": self._options.listen,
-            "slots": self._options.slots,
         }
         while True:
+            announcement["slots"] = self.announced
             try:
                 if not self.draining:
                     async with self._session.put(base, json=announcement):
@@ -175,7 +180,7 @@
         )
 
     async def control(self, request):
-        """Sets faults: slow, fail, fail_above, report, drain.
+        """Sets faults: slow, fail, fail_above, report, announced, drain.
 
         `fail` may be a path prefix; with `fail_above` the failure of a child
         call fails its parent.
@@ -185,11 +190,21 @@
         self.fail = wanted.get("fail", self.fail)
         self.fail_above = wanted.get("fail_above", self.fail_above)
         self.report = wanted.get("report", self.report)
+        self.announced = wanted.get("announced", self.announced)
         if wanted.get("drain"):
             await self.drain()
+        elif "drain" in wanted:
+            # The next announcement brings it back.
+            self.draining = False
         return web.json_response({})
 
 
+def _whole(child):
+    # A child answered in part makes its parent's answer one in part, though
+    # its status is 200.
+    return child["status"] < 400 and child["outcome"] == "ran"
+
+
 async def _digest(request):
     digest = hashlib.sha256()
     size = 0
@@ -235,6 +250,7 @@
     parser.add_argument("--slots", type=int, default=16)
     parser.add_argument("--work-ms", type=float, default=5.0)
     parser.add_argument("--cold-s", type=float, default=0.0)
+    parser.add_argument("--child-tries", type=int, default=1)
     parser.add_argument(
         "--child",
         action="append",
--- a/standins/site.py
+++ b/standins/site.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from standins import proxy
+from standins import proxy as proxies
 
 FLEET_SECRET = "a-fleet-secret-for-tests"
 ADMIN_KEY = "an-admin-key-for-tests"
@@ -34,6 +34,8 @@
         slots: The backend server's slots.
         work_ms: The backend server's time for a call, in milliseconds.
         children: What it calls: `PREFIX=METHOD:PATH`.
+        child_tries: How often it tries each child call.
+        cold_s: How long after its start it is slow, in seconds.
     """
 
     name: str
@@ -42,6 +44,8 @@
     slots: int = 16
     work_ms: float = 2.0
     children: tuple[str, ...] = ()
+    child_tries: int = 1
+    cold_s: float = 0.0
 
 
 class Addresses(typing.NamedTuple):
@@ -82,7 +86,10 @@
         self.platform = self.book.next()
         self.workers: dict[str, Worker] = {}
         self.addresses: dict[str, Addresses] = {}
-        self.proxies: dict[str, proxy.Proxy] = {}
+        # The proxies between peers and the daemons added `proxied`.
+        self.proxies: dict[str, proxies.Proxy] = {}
+        self._admin_proxies: dict[str, proxies.Proxy] = {}
+        self._all_proxies: list[proxies.Proxy] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self):
@@ -92,12 +99,14 @@
         )
         await self._wait_for(self.platform, "/control")
 
-    async def add(self, workers, *, proxied: bool = False, **settings: str):
+    async def add(self, workers, proxied=False, backends=True, **settings: str):
         """Starts workers, and waits until their daemons listen.
 
         Args:
             workers: What to start.
-            proxied: Whether other daemons reach them through `proxies`.
+            proxied: Whether peers reach each daemon through proxies, which
+                `cut` and `heal` control.
+            backends: Whether to start the backend servers too.
             settings: Environment variables of the daemons, by the part of
                 their names after SAVORYBEND_.
         """
@@ -108,20 +117,13 @@
             )
             self._settings[worker.name] = dict(settings)
             if proxied:
-                await self._start_proxy(worker.name)
+                await self._announce_proxies(worker.name)
             await self.start_daemon(worker.name)
-            await self.start_backend(worker.name)
+            if backends:
+                await self.start_backend(worker.name)
         for worker in workers:
             await self.wait_listening(worker.name)
 
-    async def _start_proxy(self, name):
-        announced = self.book.next()
-        ends = (announced, self.addresses[name].peer)
-        listen, target = (end.rpartition(":")[::2] for end in ends)
-        self.proxies[name] = proxy.Proxy(listen, target)
-        await self.proxies[name].start()
-        self._settings[name]["PEER_ANNOUNCE"] = announced
-
     async def start_daemon(self, name):
         """Starts a worker's daemon, again if it has ended."""
         worker, at = self.workers[name], self.addresses[name]
@@ -148,6 +150,8 @@
         options += ["--service", worker.service]
         options += ["--slots", str(worker.slots)]
         options += ["--work-ms", str(worker.work_ms)]
+        options += ["--child-tries", str(worker.child_tries)]
+        options += ["--cold-s", str(worker.cold_s)]
         for child in worker.children:
             options += ["--child", child]
         await self._start(backend_of(name), "standins.backend", *options)
@@ -196,6 +200,34 @@
                     found[line.removeprefix("effect ")] += 1
         return found
 
+    async def put_proxy(self, target):
+        """Starts a proxy in front of an address; returns it and its own."""
+        address = self.book.next()
+        proxy = proxies.Proxy(_split(address), _split(target))
+        await proxy.start()
+        self._all_proxies.append(proxy)
+        return proxy, address
+
+    async def _announce_proxies(self, name):
+        at = self.addresses[name]
+        announced = self._settings[name]
+        proxy, address = await self.put_proxy(at.peer)
+        self.proxies[name] = proxy
+        announced["ANNOUNCED_PEER_ADDRESS"] = address
+        proxy, address = await self.put_proxy(at.admin)
+        self._admin_proxies[name] = proxy
+        announced["ANNOUNCED_ADMIN_ADDRESS"] = address
+
+    def cut(self, name):
+        """Cuts the ways to a daemon that was added `proxied`."""
+        self.proxies[name].inject(proxies.Fault.CUT)
+        self._admin_proxies[name].inject(proxies.Fault.CUT)
+
+    def heal(self, name):
+        """Ends what `cut` began."""
+        self.proxies[name].heal()
+        self._admin_proxies[name].heal()
+
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
         url = f"http://{self.addresses[name].backend}/control"
@@ -266,14 +298,14 @@
 
     async def stop(self):
         """Ends every process that this site started."""
-        for link in self.proxies.values():
-            await link.stop()
         for process in self._processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self._processes.values():
             await process.wait()
+        for proxy in self._all_proxies:
+            await proxy.stop()
 
     async def _start(self, name, module, *arguments, **environment):
         path = self._folder / f"{name}.log"
@@ -298,6 +330,11 @@
                     await asyncio.sleep(_POLL_S)
 
 
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def backend_of(name: str) -> str:
     """Returns the name of a worker's backend server process."""
     return f"{name}-backend"
