--- /dev/null
+++ b/tests/integration/test_connections.py
@@ -0,0 +1,103 @@
+"""One connection for a pair, opened on demand and closed when unused."""
+
+import asyncio
+
+import prometheus_client
+import pytest
+
+from savorybend.internal import connections
+from savorybend.internal import errors
+from savorybend.internal import members
+from savorybend.internal import peerkeys
+from standins import site as sites
+
+pytestmark = pytest.mark.asyncio
+
+_WAIT_S = 10.0
+
+
+class _End:
+    """A daemon's connections, and what arrived over them."""
+
+    def __init__(self, name, address):
+        self.name = name
+        self.address = address
+        self.keys = peerkeys.create_key_pair()
+        fields = ("east", "back", "call", address, "admin", self.keys.public)
+        self.record = members.Record(name, 1, *fields)
+        self.directory = members.create_directory(self.record)
+        self.arrived = asyncio.Queue()
+        self.connections = connections.create_connections(
+            self.directory,
+            self.keys,
+            lambda peer, data, way: self.arrived.put_nowait((peer, data, way)),
+        )
+        self.connections.bind(address)
+
+    async def take(self):
+        return await asyncio.wait_for(self.arrived.get(), _WAIT_S)
+
+
+@pytest.fixture
+async def pair():
+    book = sites.AddressBook()
+    ends = [_End(name, book.next()) for name in ("one", "two")]
+    for end in ends:
+        for other in ends:
+            end.directory.put(other.record)
+    yield ends
+    for end in ends:
+        end.connections.close()
+
+
+def _open_count():
+    return prometheus_client.REGISTRY.get_sample_value(
+        "savorybend_peer_connections"
+    )
+
+
+async def _exchange(one, two):
+    one.connections.send("two", b"there")
+    peer, data, way = await two.take()
+    assert (peer, data) == ("one", b"there")
+    assert way is not None
+    two.connections.send("one", b"back")
+    assert await one.take() == ("two", b"back", None)
+
+
+async def test_the_peer_answers_over_the_connection_that_was_opened(pair):
+    await _exchange(*pair)
+
+
+async def test_an_unused_connection_is_closed_and_opened_again(pair):
+    one, two = pair
+    await _exchange(one, two)
+    for busy, left in (((), 1), (("two",), 1), ((), 0)):
+        one.connections.sweep(busy)
+        assert _open_count() == left
+    await _exchange(one, two)
+
+
+async def test_a_peer_whose_connection_was_closed_opens_one_itself(pair):
+    one, two = pair
+    await _exchange(one, two)
+    one.connections.drop("two")
+    async with asyncio.timeout(_WAIT_S):
+        while one.arrived.empty():
+            two.connections.send("one", b"again")
+            await asyncio.sleep(0.05)
+    peer, data, way = await one.take()
+    assert (peer, data) == ("two", b"again")
+    assert way is not None
+
+
+async def test_a_connection_is_replaced(pair):
+    one, two = pair
+    await _exchange(one, two)
+    one.connections.reopen("two")
+    await _exchange(one, two)
+
+
+async def test_an_unknown_peer_is_unreachable(pair):
+    with pytest.raises(errors.PeerUnreachableError, match="choose another"):
+        pair[0].connections.send("three", b"")
