Keep a restarted peer's call from the end of an older one

Cause: calls of peers are found by the peer's name and the stream's number, and a restarted peer counts from 1 again. A call that the break had cancelled removed, when its work had ended, whatever stood under its number: the new call then had no more body, credits or cancellation. Change: a call removes only itself. Measured: the new test fails before (nothing in flight instead of one) and passes after.

--- a/src/savorybend/internal/receiving.py
+++ b/src/savorybend/internal/receiving.py
@@ -122,7 +122,9 @@
             return
         finally:
             incoming.end()
-            self._incoming.pop(key, None)
+            # A restarted peer may have begun another call of this number.
+            if self._incoming.get(key) is incoming:
+                del self._incoming[key]
 
     def _call(self, head: wire.CallHead) -> calls.Call:
         return calls.Call(
