Let the hostile member of the tests join by the fleet secret

Cause: since daemons follow one another from peer to peer, a record on the platform alone makes nobody a member, and the fixture waited in vain. Change: the hostile member joins as a daemon does, anew before each message, since it answers no probes. What the tests ask is unchanged. Measured: tests/integration/test_hostile_peers.py, 22 pass.

--- a/tests/integration/test_hostile_peers.py
+++ b/tests/integration/test_hostile_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import re
 import socket
@@ -11,11 +12,13 @@
 import pytest_asyncio
 import zmq
 
+from savorybend.internal import joining
 from savorybend.internal import members
-from savorybend.internal import platform
 from savorybend.internal.wire import calls
 from savorybend.internal.wire import codec
 from savorybend.internal.wire import links
+from savorybend.internal.wire import membership
+from standins import site as sites
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -57,22 +60,31 @@
         self._context.destroy(linger=0)
 
 
+class _Member(_Stranger):
+    """A stranger that knows the fleet secret."""
+
+    def __init__(self, site):
+        super().__init__(site, *zmq.curve_keypair())
+        self._incarnations = itertools.count(1)
+
+    async def send(self, *messages, **options):
+        # It answers no probes, so it joins anew before it is taken for dead.
+        fields = ("east", "mallory") + ("127.0.0.1:1",) * 3
+        record = members.Record(
+            "mallory", next(self._incarnations), *fields, self._public.decode()
+        )
+        visitor = joining.create_visitor(sites.FLEET_SECRET, self._site.session)
+        admin = self._site.addresses["back-1"].admin
+        await visitor.join(admin, membership.JoinRequest(record, True, []))
+        await super().send(*messages, **options)
+
+
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def mallory(chain):
     """A member of the fleet that does as it likes."""
-    public, secret = zmq.curve_keypair()
-    fields = ("east", "mallory") + ("127.0.0.1:1",) * 3
-    record = members.Record("mallory", 1, *fields, public.decode())
-    kind = platform.DAEMON_KIND
-    url = f"http://{chain.platform}/v1/objects/{kind}/mallory"
-    async with chain.session.put(url, data=msgspec.json.encode(record)):
-        pass
-    async with asyncio.timeout(_WAIT_S):
-        while "mallory" not in json.dumps(await chain.ask("back-1", "daemons")):
-            await asyncio.sleep(0.05)
-    stranger = _Stranger(chain, public, secret)
-    yield stranger
-    stranger.stop()
+    member = _Member(chain)
+    yield member
+    member.stop()
 
 
 async def _metric(site, name, cause=""):
