Look both ways for the limit, hear thresholds longer, queue class 0 longer

The limit of the slots service drifted from 12 to 9, since it only tried upwards and calls that hold a slot while they wait for children make any excess look dear; and technicians, who need no slowed service, were shed there behind calls of class 2, which held slots while they queued at the tracker. Ruled out: the tracker standing idle (97% of its room was used). Change: trials above and below; thresholds fade only after 1 s without a reply, with a call let through each 0.5 s to hear news; one waiting call a slot again, four where only class 0 waits; shares at a finer grain.

--- a/src/savorybend/internal/adaptive.py
+++ b/src/savorybend/internal/adaptive.py
@@ -2,10 +2,12 @@
 
 Below its capacity a backend server takes no longer for more calls at once;
 above it, each further call only makes all of them wait. The limit is found by
-trying a little more than the present one in every other window, and comparing
-the two latencies. Since only neighbouring windows are compared, no baseline
-can grow old: a backend server that has become slow, is cold, or misreports
-its load is judged by what it does now.
+trying a little more or less than the present one in every other window, and
+comparing the two latencies: more is taken over where it costs no latency,
+less where it saves some, and otherwise the limit stays. Since only
+neighbouring windows are compared, no baseline can grow old: a backend server
+that has become slow, is cold, or misreports its load is judged by what it
+does now.
 """
 
 import math
@@ -13,8 +15,8 @@
 SMALLEST_LIMIT = 1
 LARGEST_LIMIT = 10_000
 
-# A trial goes so far above the limit, and at least one call.
-_TRIAL_FACTOR = 1.2
+# A trial goes so far above or below the limit, and at least one call.
+_TRIAL_PART = 0.2
 # Where latency follows concurrency more closely than this power of it, calls
 # queue inside the backend server.
 _QUEUEING_ELASTICITY = 0.5
@@ -92,6 +94,7 @@
         """Starts anew from a size that the backend server announced."""
         self._centre = float(min(max(start, SMALLEST_LIMIT), LARGEST_LIMIT))
         self._step = 0.0
+        self._direction = 1
         self._drop_evidence()
         self._begin()
 
@@ -119,8 +122,9 @@
     def _begin(self) -> None:
         self._value = math.ceil(self._centre)
         if self._trial:
-            trial = math.ceil(self._value * _TRIAL_FACTOR)
-            self._value = max(self._value + 1, trial)
+            width = max(1, int(self._value * _TRIAL_PART))
+            self._value += self._direction * width
+            self._value = max(SMALLEST_LIMIT, self._value)
         self._settling = self._value
         self._wanted = max(_FEWEST_SAMPLES, self._value)
         self._failures = 0
@@ -129,11 +133,11 @@
     def _drop_evidence(self) -> None:
         self._trial = False
         self._plain = _Samples()
-        self._raised = _Samples()
+        self._tried = _Samples()
 
     def _end_window(self) -> None:
         if self._failures >= self._wanted * _FAILING_PART:
-            self._move(-1.0)
+            self._move(-1)
             return
         if self._window.in_use < self._value * _BINDING_PART:
             # Nothing was held back, so there is nothing to learn, and a
@@ -142,11 +146,11 @@
             return
         self._gather()
         self._trial = not self._trial
-        if self._plain.count and self._raised.count:
+        if self._plain.count and self._tried.count:
             self._decide()
 
     def _gather(self) -> None:
-        samples = self._raised if self._trial else self._plain
+        samples = self._tried if self._trial else self._plain
         if samples.count:
             ratio = self._window.mean_s / samples.mean_s
             if not 1 / _CHANGED_FACTOR < ratio < _CHANGED_FACTOR:
@@ -155,18 +159,30 @@
         samples.merge(self._window)
 
     def _decide(self) -> None:
-        plain, raised = self._plain, self._raised
-        if raised.in_use <= plain.in_use:
+        low, high = self._plain, self._tried
+        if self._direction < 0:
+            low, high = high, low
+        if high.in_use <= low.in_use:
             return
-        rise = math.log(raised.mean_s / plain.mean_s)
-        expected = _QUEUEING_ELASTICITY * math.log(raised.in_use / plain.in_use)
-        error = math.sqrt(plain.relative_variance + raised.relative_variance)
+        rise = math.log(high.mean_s / low.mean_s)
+        expected = _QUEUEING_ELASTICITY * math.log(high.in_use / low.in_use)
+        error = math.sqrt(low.relative_variance + high.relative_variance)
         if abs(rise - expected) > _SURE * error:
-            self._move(1.0 if rise < expected else -1.0)
-        elif plain.count > _MOST_SAMPLES:
-            self._drop_evidence()
+            queueing = rise > expected
+            if queueing == (self._direction < 0):
+                self._move(self._direction)
+            else:
+                self._turn()
+        elif low.count > _MOST_SAMPLES:
+            self._turn()
+
+    def _turn(self) -> None:
+        """Tries the other direction, since this one is no better."""
+        self._direction = -self._direction
+        self._step = 0.0
+        self._drop_evidence()
 
-    def _move(self, direction: float) -> None:
+    def _move(self, direction: int) -> None:
         # Steps grow while they agree, so that an announcement that is wrong
         # by a factor of ten is mended in a few windows.
         if self._step * direction > 0:
--- a/src/savorybend/internal/admission.py
+++ b/src/savorybend/internal/admission.py
@@ -25,7 +25,7 @@
 # are too few to steer by: the threshold would swing, and accounts that come
 # at the wrong moment would be refused whatever their share.
 _KEPT_PART = 0.7
-_GAIN = 0.4
+_GAIN = 0.25
 _LARGEST_OPENING = 0.2
 _SMALLEST_EASING = 0.05
 _LARGEST_EASING = 2.0
--- a/src/savorybend/internal/choice.py
+++ b/src/savorybend/internal/choice.py
@@ -142,12 +142,18 @@
     def _refusal(
         self, call: calls.Call, candidates: list[members.Record]
     ) -> outcomes.Refuse | None:
-        lowest = min(self.threshold(one.name, call.route) for one in candidates)
+        now_s = self._clock.now_s()
+        lowest, least = min(
+            (self.threshold(one.name, call.route), one.name)
+            for one in candidates
+        )
         places = self._places_of(call)
         places.note(call.client_account)
         part = admission.part_admitted(call.priority, lowest)
         if places.admits(call.client_account, part):
             return None
+        if self._sight(least).probes(call.route, now_s):
+            return None
         metrics.shed(
             call.client_account,
             call.priority,
--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -16,8 +16,12 @@
 from savorybend.internal import timers
 
 _DEFAULT_SLOTS = 16
-# A longer queue answers no more calls, it only answers all of them later.
-_WAITING_PER_SLOT = 2
+# A longer queue answers no more calls, it only answers all of them later, and
+# those who wait hold slots of the services above meanwhile.
+_WAITING_PER_SLOT = 1
+# Where only the most important class is left, its bursts may wait.
+_MOST_IMPORTANT = 0
+_IMPORTANT_PER_SLOT = 4
 _SWEEP_S = 0.05
 # A queue that hasn't been empty for so long stands: it is no burst.
 _STANDING_S = 0.1
@@ -169,7 +173,7 @@
         )
         self._queue.push(waiter)
         self._controller.queued()
-        if len(self._queue) > self.limit * _WAITING_PER_SLOT:
+        if self._overflows():
             dropped = self._queue.drop(self._newest_first())
             if dropped is waiter:
                 return self._refuse(call, outcomes.OVERLOADED)
@@ -177,6 +181,12 @@
         self._start_sweeping()
         return waiter
 
+    def _overflows(self) -> bool:
+        most = _WAITING_PER_SLOT
+        if self._queue.least_important == _MOST_IMPORTANT:
+            most = _IMPORTANT_PER_SLOT
+        return len(self._queue) > self.limit * most
+
     async def _wait(self, waiter: fairqueue.Waiter) -> Ticket | outcomes.Refuse:
         future = waiter.token[0]
         try:
--- a/src/savorybend/internal/fairqueue.py
+++ b/src/savorybend/internal/fairqueue.py
@@ -124,6 +124,11 @@
             for waiter in queue
         ]
 
+    @property
+    def least_important(self) -> int:
+        """The least important class that waits."""
+        return max(n for n, one in self._classes.items() if one.size)
+
     def ahead_of(self, priority: int) -> int:
         """Returns how many waiters of more important classes there are."""
         return sum(
@@ -157,8 +162,7 @@
         ahead of its share, counting what it has waiting; the oldest where
         the newest goes first, and the newest otherwise.
         """
-        number = max(n for n, one in self._classes.items() if one.size)
-        return self._classes[number].drop(newest_first)
+        return self._classes[self.least_important].drop(newest_first)
 
     def remove(self, waiter: Waiter) -> bool:
         """Removes a waiter; returns whether it was there."""
--- a/src/savorybend/internal/shares.py
+++ b/src/savorybend/internal/shares.py
@@ -9,7 +9,7 @@
 
 _WINDOW_S = 1.0
 # Shares are looked up at this grain, so that one window needs few of them.
-_GRAIN = 0.02
+_GRAIN = 0.005
 
 
 class Demand(typing.NamedTuple):
@@ -75,6 +75,8 @@
         """Returns whether a call is among the part that is let through."""
         if part >= 1:
             return True
+        if part <= 0:
+            return False
         level = self._level(part)
         counts = self._counts
         demand = counts[client_account] / self._weight_of(client_account)
@@ -96,7 +98,7 @@
             for name, count in self._counts.items()
         ]
         total = sum(one.amount for one in demands)
-        level = water_level(demands, total * (step + 1) * _GRAIN)
+        level = water_level(demands, total * (step + 0.5) * _GRAIN)
         self._levels[step] = level
         return level
 
--- a/src/savorybend/internal/sights.py
+++ b/src/savorybend/internal/sights.py
@@ -13,9 +13,12 @@
 _NEWEST_PART = 0.2
 # Assumed until a daemon has answered, so that it is tried.
 _FIRST_LATENCY_S = 0.001
-# A threshold that nothing confirms fades, in levels a second: without calls
-# there are no replies that would say the overload is over.
+# A threshold that no reply confirms for a while fades, in levels a second.
+_CONFIRMED_S = 1.0
 _FADING_PER_S = 2.0
+# Refusing a route altogether would cut off the replies that say the overload
+# is over, so one call is let through so often.
+_PROBE_S = 0.5
 # Calls of one route don't all meet the overloaded service, so a lower
 # threshold is believed by and by.
 _RELIEF_PART = 0.5
@@ -35,14 +38,16 @@
     Attributes:
         threshold: See `admission`.
         at_s: When it came.
+        probe_s: When a call was last let through in spite of it.
     """
 
     threshold: float
     at_s: float
+    probe_s: float = 0.0
 
     def faded(self, now_s: float) -> float:
         """Returns what is left of it."""
-        age_s = now_s - self.at_s
+        age_s = max(0.0, now_s - self.at_s - _CONFIRMED_S)
         return max(calls.NO_THRESHOLD, self.threshold - age_s * _FADING_PER_S)
 
 
@@ -85,6 +90,18 @@
         heard = self._thresholds.get(route)
         return calls.NO_THRESHOLD if heard is None else heard.faded(now_s)
 
+    def probes(self, route: str, now_s: float) -> bool:
+        """Returns whether a call that would be refused is let through.
+
+        It is when no call of the route was answered for a while, and no
+        other one was let through meanwhile.
+        """
+        heard = self._thresholds.get(route)
+        if heard is None or now_s < max(heard.at_s, heard.probe_s) + _PROBE_S:
+            return False
+        self._thresholds[route] = heard._replace(probe_s=now_s)
+        return True
+
     def judge(self, answer: calls.Answer, seconds: float, now_s: float) -> None:
         """Takes an answer into account.
 
