--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -5,30 +5,44 @@
 import random
 import signal
 import time
-import typing
 
 import aiohttp
 
 from savorybend.internal import admin
+from savorybend.internal import announcing
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
 from savorybend.internal import concurrency
+from savorybend.internal import configspread
 from savorybend.internal import configstore
+from savorybend.internal import configwatch
+from savorybend.internal import contact
+from savorybend.internal import dispatching
+from savorybend.internal import drain
 from savorybend.internal import entry
 from savorybend.internal import forwarding
+from savorybend.internal import guard
 from savorybend.internal import handles
 from savorybend.internal import httpserver
+from savorybend.internal import inquiries
+from savorybend.internal import intake
+from savorybend.internal import issuing
+from savorybend.internal import joining
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import local
 from savorybend.internal import logs
 from savorybend.internal import members
 from savorybend.internal import membership
+from savorybend.internal import peerkeys
 from savorybend.internal import peers
 from savorybend.internal import platform
+from savorybend.internal import quarantine
 from savorybend.internal import receiving
-from savorybend.internal import requestids
+from savorybend.internal import records
+from savorybend.internal import recovering
+from savorybend.internal import requestpages
 from savorybend.internal import routing
 from savorybend.internal import serving
 from savorybend.internal import settings as settings_module
@@ -42,6 +56,8 @@
 _SPREAD_S = 1.0
 # Callers without a key share one account that no configuration describes.
 _OPEN_WEIGHT = 1.0
+# Lets the last messages out before the connections close.
+_LAST_WORD_S = 0.2
 
 _log = logs.get()
 
@@ -56,26 +72,38 @@
         self,
         settings: settings_module.Settings,
         session: aiohttp.ClientSession,
+        platform_session: aiohttp.ClientSession,
     ):
         self._settings = settings
         self._session = session
+        self._rng = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
-        keys = peers.create_key_pair()
+        keys = peerkeys.create_key_pair()
         own = _own_record(settings, keys.public)
         self._directory = members.create_directory(own)
-        self._transport = peers.create_transport(self._directory, keys)
+        self._transport = peers.create_transport(
+            self._directory, keys, self._timers
+        )
         self._platform = platform.create_platform(
-            settings.platform_url, session
+            settings.platform_url, platform_session
         )
         self._configuration = configstore.create_store(clock)
-        self._watcher = configstore.create_watcher(
-            self._configuration, self._platform
+        self._watcher = configwatch.create_watcher(
+            configwatch.Parts(
+                self._configuration,
+                self._platform,
+                self._directory,
+                clock,
+                self._rng,
+            )
         )
-        self._membership = membership.create_membership(
-            self._directory, self._platform
+        self._membership = self._create_membership()
+        self._announcer = announcing.create_announcer(
+            self._directory, self._platform, self._rng
         )
+        self._contact = self._create_contact()
         self._journal = journal.create_journal(
             settings.name, settings.journal_entries
         )
@@ -84,12 +112,24 @@
             self._timers, self._weight_of, settings.experiment
         )
         self._server = backendserver.create_backend_server(self._gate)
+        self._server.subscribe(self._on_backend_server)
         self._handles = handles.create_handles()
+        self._issuer = issuing.create_issuer(own.name, own.incarnation)
+        self._intake = self._create_intake()
+        self._records = records.create_records(own.name, clock)
         self._serving = self._create_serving(clock)
+        self._dispatcher = self._create_dispatcher(clock, own)
         self._receiver = receiving.create_receiver(
-            self._transport, clock, self._serving, self._directory
+            self._transport,
+            self._timers,
+            dispatching.create_doorway(self._dispatcher, self._serving),
         )
         self._entry = self._create_entry(clock, own)
+        self._door = drain.create_door(
+            settings.name,
+            self._entry.handle,
+            draining=lambda: self.state == "draining",
+        )
         self._listeners = self._create_listeners()
         charts.create_machine("daemon", self, after_change="log_state")
 
@@ -118,7 +158,8 @@
         )
         for listener, address in zip(self._listeners, addresses, strict=True):
             await listener.start(address.host, address.port)
-        self._spawn(self._membership.run())
+        self._membership.start()
+        self._spawn(self._contact.run())
         self._spawn(self._watcher.run())
         self._spawn(self._limiter.keeper.run())
         _log.info("listening", call_address=str(settings.call_address))
@@ -126,13 +167,15 @@
     async def _stop(self) -> None:
         self.trigger("drain")
         self._serving.drain()
-        own = self._directory.own
-        leaving = _changed(own, state=members.DRAINING)
-        await self._membership.announce_change(leaving)
+        self._membership.set_state(members.DRAINING)
         await asyncio.sleep(_SPREAD_S)
+        self._door.close()
         await self._finish_calls()
         await self._limiter.leave()
-        await self._membership.leave()
+        self._membership.leave()
+        await self._announcer.withdraw()
+        await asyncio.sleep(_LAST_WORD_S)
+        self._membership.stop()
         for listener in self._listeners:
             await listener.stop()
         for task in self._tasks:
@@ -149,6 +192,9 @@
 
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
+        in_flight += self._guard.in_flight + self._records.running
+        # An answer that its peer hasn't received yet is still in flight.
+        in_flight += self._transport.waiting
         return in_flight + self._gate.in_use > 0
 
     def _on_configuration(self, current: snapshot.Snapshot) -> None:
@@ -161,9 +207,47 @@
         account = current and current.accounts.get(client_account)
         return account.weight if account else _OPEN_WEIGHT
 
+    def _on_backend_server(self, state: str) -> None:
+        # While the daemon itself leaves, nothing brings it back.
+        if self.state != "draining":
+            drained = state == "draining"
+            self._membership.set_state(
+                members.DRAINING if drained else members.SERVING
+            )
+
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
+    def _create_membership(self) -> membership.Membership:
+        spread = configspread.create_spread(
+            self._configuration, self._transport, self._timers
+        )
+        created = membership.create_membership(
+            membership.Parts(
+                self._directory,
+                self._transport,
+                self._timers,
+                self._rng,
+                spread,
+            )
+        )
+        self._configuration.subscribe(lambda _: created.tell_neighbours())
+        return created
+
+    def _create_contact(self) -> contact.Contact:
+        return contact.create_contact(
+            contact.Parts(
+                self._membership,
+                self._directory,
+                self._announcer,
+                joining.create_visitor(
+                    self._settings.fleet_secret, self._session
+                ),
+                self._settings.seeds,
+                self._rng,
+            )
+        )
+
     def _create_serving(self, clock: timers.Clock) -> serving.Serving:
         return serving.create_serving(
             serving.Parts(
@@ -173,10 +257,72 @@
                 backend_server=self._server,
                 handles=self._handles,
                 journal=self._journal,
+                records=self._records,
+                quarantine=quarantine.create_quarantine(
+                    quarantine.Parts(self._transport, self._directory, clock)
+                ),
                 session=self._session,
             )
         )
 
+    def _create_intake(self) -> intake.Intake:
+        return intake.create_intake(
+            intake.Parts(
+                configuration=self._configuration,
+                limiter=self._limiter,
+                handles=self._handles,
+                issuer=self._issuer,
+                journal=self._journal,
+            )
+        )
+
+    def _create_dispatcher(
+        self, clock: timers.Clock, own: members.Record
+    ) -> dispatching.Dispatcher:
+        forwarder = forwarding.create_forwarder(self._transport, self._timers)
+        tracker = choice.create_tracker(
+            random.Random(), clock, self._weight_of, self._settings.experiment
+        )
+        self._directory.subscribe(tracker.on_change)
+        router = routing.create_router(
+            routing.Parts(
+                directory=self._directory,
+                tracker=tracker,
+                local=self._serving,
+                forwarder=forwarder,
+            )
+        )
+        recovery = self._create_recovery(clock)
+        self._guard = guard.create_guard(
+            guard.Parts(
+                daemon=own.name,
+                issuer=self._issuer,
+                records=records.create_records(own.name, clock),
+                journal=self._journal,
+                recovery=recovery,
+                admit=self._intake.spend,
+                target=router,
+            )
+        )
+        return dispatching.create_dispatcher(
+            dispatching.Parts(
+                directory=self._directory,
+                issuer=self._issuer,
+                guard=self._guard,
+                router=router,
+                forwarder=forwarder,
+                recovery=recovery,
+            )
+        )
+
+    def _create_recovery(self, clock: timers.Clock) -> recovering.Recovery:
+        inquirer = inquiries.create_inquirer(
+            inquiries.Parts(self._transport, self._journal, self._records)
+        )
+        return recovering.create_recovery(
+            recovering.Parts(clock, self._directory, inquirer)
+        )
+
     def _create_limiter(self) -> limits.FleetLimiter:
         limiter = limits.create_limiter(
             limits.Parts(
@@ -194,29 +340,16 @@
     def _create_entry(
         self, clock: timers.Clock, own: members.Record
     ) -> entry.Entry:
-        tracker = choice.create_tracker(
-            random.Random(), clock, self._weight_of, self._settings.experiment
-        )
-        self._directory.subscribe(tracker.on_change)
-        router = routing.create_router(
-            routing.Parts(
-                directory=self._directory,
-                tracker=tracker,
-                local=self._serving,
-                forwarder=forwarding.create_forwarder(
-                    self._transport, clock, self._directory
-                ),
-            )
-        )
         return entry.create_entry(
             entry.Parts(
                 daemon=own.name,
                 clock=clock,
                 configuration=self._configuration,
-                limiter=self._limiter,
-                target=router,
+                intake=self._intake,
+                target=self._dispatcher,
+                guard=self._guard,
                 handles=self._handles,
-                issuer=requestids.create_issuer(own.name, own.incarnation),
+                issuer=self._issuer,
                 journal=self._journal,
                 body_limit_bytes=self._settings.body_limit_bytes,
                 entries=self._entries,
@@ -229,17 +362,26 @@
                 key=self._settings.admin_key,
                 configuration=self._configuration,
                 directory=self._directory,
-                journal=self._journal,
+                requests=requestpages.create_pages(
+                    requestpages.Parts(
+                        self._journal, self._issuer, self._records
+                    )
+                ),
                 limiter=self._limiter,
                 status=self._status,
                 ready=lambda: self.state == "serving",
+                join=joining.create_door(
+                    self._settings.fleet_secret,
+                    self._timers.clock,
+                    self._contact.answer,
+                ).handle,
             )
         )
         door = local.create_door(self._server, self._entry)
         limit = self._settings.header_limit_bytes
         return tuple(
-            httpserver.create_listener(handler, limit)
-            for handler in (self._entry.handle, door.handle, pages.handle)
+            httpserver.create_listener(handler, limit, self._timers)
+            for handler in (self._door.handle, door.handle, pages.handle)
         )
 
     def _entries(self) -> dict[str, dict[str, list[str]]]:
@@ -275,27 +417,36 @@
         incarnation=time.time_ns() // 1_000_000,
         data_centre=settings.data_centre,
         service=settings.service,
-        call_address=str(settings.call_address),
-        peer_address=str(settings.peer_address),
-        admin_address=str(settings.admin_address),
+        call_address=str(
+            settings.announced_call_address or settings.call_address
+        ),
+        peer_address=str(
+            settings.announced_peer_address or settings.peer_address
+        ),
+        admin_address=str(
+            settings.announced_admin_address or settings.admin_address
+        ),
         public_key=public_key,
     )
 
 
-def _changed(record: members.Record, **fields: typing.Any) -> members.Record:
-    values = {name: getattr(record, name) for name in record.__struct_fields__}
-    return members.Record(
-        **{**values, "revision": record.revision + 1, **fields}
-    )
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Runs a daemon until a signal asks for a graceful shutdown."""
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(
+    async with (
+        _create_session(aiohttp.TCPConnector(limit=0)) as session,
+        # The platform is asked rarely, and an idle connection may have gone
+        # silent since; a new one for each call works if the platform does.
+        _create_session(
+            aiohttp.TCPConnector(limit=0, force_close=True)
+        ) as platform_session,
+    ):
+        await Daemon(settings, session, platform_session).run()
+
+
+def _create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None),
-    ) as session:
-        await Daemon(settings, session).run()
+    )
--- /dev/null
+++ b/src/savorybend/internal/dispatching.py
@@ -0,0 +1,121 @@
+"""Takes each call to the one place that may start it."""
+
+import typing
+
+from savorybend.internal import bodies
+from savorybend.internal import calls
+from savorybend.internal import forwarding
+from savorybend.internal import guard
+from savorybend.internal import issuing
+from savorybend.internal import members
+from savorybend.internal import outcomes
+from savorybend.internal import recovering
+from savorybend.internal import requestids
+
+
+class Parts(typing.NamedTuple):
+    """What a dispatcher is made of.
+
+    Attributes:
+        directory: The known daemons.
+        issuer: Issues this daemon's IDs.
+        guard: Starts the IDs of this daemon.
+        router: Runs calls that need no guard.
+        forwarder: Passes calls to the issuers of their IDs.
+        recovery: Fetches the answers of requests whose issuer is gone.
+    """
+
+    directory: members.Directory
+    issuer: issuing.Issuer
+    guard: guard.Guard
+    router: calls.Target
+    forwarder: forwarding.Forwarder
+    recovery: recovering.Recovery
+
+
+class Dispatcher:
+    """Where calls go that entered at this daemon."""
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+
+    @property
+    def name(self) -> str:
+        """The name of this daemon."""
+        return self._parts.directory.own.name
+
+    async def execute(
+        self, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the call's answer."""
+        # A child's ID was made for this one call on this daemon, so nobody
+        # else can start it.
+        if call.idempotent or call.depth > 0:
+            return await self._parts.router.execute(call, body)
+        parsed = requestids.parse(call.request_id)
+        if self._parts.issuer.owns(parsed):
+            return await self._parts.guard.execute(call, body)
+        record = self._parts.directory.get(parsed.issuer)
+        if record and record.incarnation == parsed.incarnation:
+            return await self._pass_on(record.name, call, body)
+        return await self._settle(call, body, outcomes.ISSUER_LOST)
+
+    async def _pass_on(
+        self, issuer: str, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        answer = await self._parts.forwarder.execute(issuer, call, body)
+        if answer.decided_by != self.name:
+            return answer
+        if answer.outcome is outcomes.Outcome.NOT_RUN:
+            # This sending didn't reach the issuer, but an earlier one may
+            # have, so this is no proof that nothing ran.
+            return self._unknown(call, outcomes.ISSUER_UNREACHABLE)
+        if answer.reason == outcomes.ANSWER_LOST.name:
+            return await self._settle(call, body, outcomes.ANSWER_LOST)
+        return answer
+
+    async def _settle(
+        self, call: calls.Call, body: bodies.Body, reason: outcomes.Reason
+    ) -> calls.Answer:
+        otherwise = self._unknown(call, reason)
+        return await self._parts.recovery.fetch(call, body, otherwise)
+
+    def _unknown(
+        self, call: calls.Call, reason: outcomes.Reason
+    ) -> calls.Answer:
+        return calls.explain(
+            outcomes.Outcome.UNKNOWN,
+            reason,
+            call.request_id,
+            self.name,
+        )
+
+
+class Doorway:
+    """Where calls go that another daemon passed on."""
+
+    def __init__(self, own: Dispatcher, local: calls.Target):
+        self._own = own
+        self._local = local
+
+    async def execute(
+        self, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the call's answer."""
+        if not call.idempotent and call.depth == 0:
+            parsed = requestids.parse(call.request_id)
+            # A call for an earlier incarnation of this daemon is meant for
+            # its guard too, and must not be taken for one to serve here.
+            if parsed and parsed.issuer == self._own.name:
+                return await self._own.execute(call, body)
+        return await self._local.execute(call, body)
+
+
+def create_dispatcher(parts: Parts) -> Dispatcher:
+    """Returns the dispatcher of a daemon."""
+    return Dispatcher(parts)
+
+
+def create_doorway(own: Dispatcher, local: calls.Target) -> Doorway:
+    """Returns where a daemon takes the calls that others pass on."""
+    return Doorway(own, local)
--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -76,6 +76,26 @@
     "savorybend_admission_threshold",
     "This daemon's own admission threshold, from 0 (refuses nothing) to 10.",
 )
+PEER_CONNECTIONS = prometheus_client.Gauge(
+    "savorybend_peer_connections",
+    "Daemons with which this daemon has a connection open.",
+)
+SILENT_CONNECTIONS = prometheus_client.Counter(
+    "savorybend_silent_connections",
+    "Connections to daemons that were replaced because they went silent.",
+)
+RESENT = prometheus_client.Counter(
+    "savorybend_peer_messages_resent",
+    "Messages sent again over a connection that replaced a silent one.",
+)
+ABANDONED = prometheus_client.Counter(
+    "savorybend_peer_links_abandoned",
+    "Times that messages to a daemon were given up with the calls they carry.",
+)
+HALF_OPEN = prometheus_client.Counter(
+    "savorybend_half_open_requests",
+    "HTTP connections closed because a request's head was never finished.",
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "savorybend_configuration_version",
     "Version of the configuration in force.",
--- a/src/savorybend/internal/wire/codec.py
+++ b/src/savorybend/internal/wire/codec.py
@@ -4,11 +4,20 @@
 
 from savorybend.internal import errors
 from savorybend.internal.wire import calls
+from savorybend.internal.wire import configuration
 from savorybend.internal.wire import limits
+from savorybend.internal.wire import links
 from savorybend.internal.wire import membership
 from savorybend.internal.wire import requests
 
-Message = calls.Message | limits.Message | membership.Message | requests.Message
+Message = (
+    calls.Message
+    | configuration.Message
+    | limits.Message
+    | links.Message
+    | membership.Message
+    | requests.Message
+)
 
 # A chunk of a body and its head fit with room to spare; anything larger comes
 # from no daemon of ours.
@@ -29,6 +38,11 @@
     Raises:
         errors.InvalidMessageError: The data is no message.
     """
+    if len(data) > LARGEST_MESSAGE_BYTES:
+        raise errors.InvalidMessageError(
+            f"a peer's message has {len(data)} bytes, more than "
+            f"{LARGEST_MESSAGE_BYTES}: run one version of savorybend on all VMs"
+        )
     try:
         return _DECODER.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -32,6 +32,7 @@
         self._session = None
         self.slow = 1.0
         self.fail = False
+        self.fail_above = False
         self.report = None
         self.announced = options.slots
         self.draining = False
@@ -67,11 +68,11 @@
             self._in_use += 1
             try:
                 await asyncio.sleep(self._work_s())
-                self.runs[request.headers["Savorybend-Request-Id"]] += 1
+                self._count(request)
                 children = await self._call_children(request)
             finally:
                 self._in_use -= 1
-        if self.fail:
+        if self._fails(request, children):
             return web.json_response({"error": "told to fail"}, status=500)
         body = {
             "service": self._options.service,
@@ -87,6 +88,20 @@
             return await _stream(request, int(request.headers[_SIZE_HEADER]))
         return web.json_response(body, headers=headers)
 
+    def _fails(self, request, children):
+        if isinstance(self.fail, str) and request.path.startswith(self.fail):
+            return True
+        if self.fail_above and any(c["status"] >= 500 for c in children):
+            return True
+        return self.fail is True
+
+    def _count(self, request):
+        request_id = request.headers["Savorybend-Request-Id"]
+        self.runs[request_id] += 1
+        if request.method != "GET":
+            # The site keeps this line when the backend server is killed.
+            print(f"effect {request_id}", flush=True)
+
     def _record(self, request):
         self.header_names.update(name.lower() for name in request.headers)
         text = json.dumps(list(request.headers.items()))
@@ -165,14 +180,22 @@
         )
 
     async def control(self, request):
-        """Sets faults: slow, fail, report, announced, drain."""
+        """Sets faults of the backend server, as the fields above name them.
+
+        `fail` may be a path prefix; with `fail_above` the failure of a child
+        call fails its parent.
+        """
         wanted = await request.json()
         self.slow = wanted.get("slow", self.slow)
         self.fail = wanted.get("fail", self.fail)
+        self.fail_above = wanted.get("fail_above", self.fail_above)
         self.report = wanted.get("report", self.report)
         self.announced = wanted.get("announced", self.announced)
         if wanted.get("drain"):
             await self.drain()
+        elif "drain" in wanted:
+            # The next announcement brings it back.
+            self.draining = False
         return web.json_response({})
 
 
@@ -191,12 +214,17 @@
     return digest.hexdigest(), size
 
 
+def part_at(start):
+    """Returns the part of a large answer that begins at a byte."""
+    return start.to_bytes(8, "big") * (_CHUNK // 8)
+
+
 async def _stream(request, size):
     response = web.StreamResponse()
     response.content_length = size
     await response.prepare(request)
     for start in range(0, size, _CHUNK):
-        await response.write(b"x" * min(_CHUNK, size - start))
+        await response.write(part_at(start)[: size - start])
     await response.write_eof()
     return response
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,6 +1,7 @@
 """Starts a site's processes on loopback: platform, daemons, backend servers."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import os
@@ -13,6 +14,8 @@
 
 import aiohttp
 
+from standins import proxy as proxies
+
 FLEET_SECRET = "a-fleet-secret-for-tests"
 ADMIN_KEY = "an-admin-key-for-tests"
 
@@ -83,6 +86,10 @@
         self.platform = self.book.next()
         self.workers: dict[str, Worker] = {}
         self.addresses: dict[str, Addresses] = {}
+        # The proxies between peers and the daemons added `proxied`.
+        self.proxies: dict[str, proxies.Proxy] = {}
+        self._admin_proxies: dict[str, proxies.Proxy] = {}
+        self._all_proxies: list[proxies.Proxy] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self):
@@ -92,11 +99,13 @@
         )
         await self._wait_for(self.platform, "/control")
 
-    async def add(self, workers, **settings: str):
+    async def add(self, workers, proxied=False, **settings: str):
         """Starts workers, and waits until their daemons listen.
 
         Args:
             workers: What to start.
+            proxied: Whether peers reach each daemon through proxies, which
+                `cut` and `heal` control.
             settings: Environment variables of the daemons, by the part of
                 their names after SAVORYBEND_.
         """
@@ -105,7 +114,9 @@
             self.addresses[worker.name] = Addresses(
                 *(self.book.next() for _ in Addresses._fields)
             )
-            self._settings[worker.name] = settings
+            self._settings[worker.name] = dict(settings)
+            if proxied:
+                await self._announce_proxies(worker.name)
             await self.start_daemon(worker.name)
             await self.start_backend(worker.name)
         for worker in workers:
@@ -178,6 +189,43 @@
         async with self.session.get(url) as answer:
             return await answer.json()
 
+    def effects(self):
+        """Counts the effects of non-GET calls, whoever was killed since."""
+        found = collections.Counter()
+        for name in self.workers:
+            for line in self.log(backend_of(name)).splitlines():
+                if line.startswith("effect "):
+                    found[line.removeprefix("effect ")] += 1
+        return found
+
+    async def put_proxy(self, target):
+        """Starts a proxy in front of an address; returns it and its own."""
+        address = self.book.next()
+        proxy = proxies.Proxy(_split(address), _split(target))
+        await proxy.start()
+        self._all_proxies.append(proxy)
+        return proxy, address
+
+    async def _announce_proxies(self, name):
+        at = self.addresses[name]
+        announced = self._settings[name]
+        proxy, address = await self.put_proxy(at.peer)
+        self.proxies[name] = proxy
+        announced["ANNOUNCED_PEER_ADDRESS"] = address
+        proxy, address = await self.put_proxy(at.admin)
+        self._admin_proxies[name] = proxy
+        announced["ANNOUNCED_ADMIN_ADDRESS"] = address
+
+    def cut(self, name):
+        """Cuts the ways to a daemon that was added `proxied`."""
+        self.proxies[name].inject(proxies.Fault.CUT)
+        self._admin_proxies[name].inject(proxies.Fault.CUT)
+
+    def heal(self, name):
+        """Ends what `cut` began."""
+        self.proxies[name].heal()
+        self._admin_proxies[name].heal()
+
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
         url = f"http://{self.addresses[name].backend}/control"
@@ -218,6 +266,10 @@
         """Returns the ID of a process."""
         return self._processes[name].pid
 
+    def ended(self, name):
+        """Returns whether a process has ended."""
+        return self._processes[name].returncode is not None
+
     def kill(self, name):
         """Ends a process at once."""
         self._processes[name].kill()
@@ -250,6 +302,8 @@
                 process.kill()
         for process in self._processes.values():
             await process.wait()
+        for proxy in self._all_proxies:
+            await proxy.stop()
 
     async def _start(self, name, module, *arguments, **environment):
         path = self._folder / f"{name}.log"
@@ -274,6 +328,11 @@
                     await asyncio.sleep(_POLL_S)
 
 
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def backend_of(name: str) -> str:
     """Returns the name of a worker's backend server process."""
     return f"{name}-backend"
