Pass over a caller who leaves in the turn of its admission

Cause: a cancelled future stays in the queue until its task runs; the gate could hand it a ticket before that, which raised InvalidStateError in the call that had ended and lost a slot for good. Measured: the test fails with InvalidStateError before the change and passes after it.

--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -192,7 +192,7 @@
         try:
             return await future
         except asyncio.CancelledError:
-            if self._queue.remove(waiter):
+            if self._queue.remove(waiter) or future.cancelled():
                 raise
             if isinstance(future.result(), Ticket):
                 # The ticket came together with the end of the wait.
@@ -209,6 +209,9 @@
         while self._queue and self._in_use < self.limit:
             waiter = self._queue.pop(self._newest_first())
             future, call = waiter.token
+            if future.done():
+                # Its caller left in this very turn of the loop.
+                continue
             waited_s = self._clock.now_s() - waiter.arrived_s
             metrics.queue_seconds(
                 waiter.client_account, waiter.priority
@@ -255,7 +258,8 @@
         self, waiter: fairqueue.Waiter, reason: outcomes.Reason
     ) -> None:
         future, call = waiter.token
-        future.set_result(self._refuse(call, reason))
+        if not future.done():
+            future.set_result(self._refuse(call, reason))
 
     def _refuse(
         self, call: calls.Call, reason: outcomes.Reason
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -216,3 +216,22 @@
     stage.waiting.clear()
     await stage.finish()
     assert stage.gate.in_use == 0
+
+
+# The gate once gave the place of a caller who had just left to its cancelled
+# future, and the error took the call that had ended down with it.
+async def test_a_caller_who_leaves_as_its_turn_comes_is_passed_over():
+    stage = Stage(slots=2)
+    await stage.send()
+    await stage.send()
+    await stage.send(account="leaving")
+    await stage.send(account="staying")
+    (leaving,) = (
+        task
+        for task, call in stage.waiting.items()
+        if call.client_account == "leaving"
+    )
+    stage.waiting.pop(leaving)
+    leaving.cancel()
+    await stage.finish()
+    assert stage.served["staying"] == 1
