--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -292,6 +292,10 @@
         self, clock: timers.Clock, own: members.Record
     ) -> dispatching.Dispatcher:
         forwarder = forwarding.create_forwarder(self._transport, self._timers)
+        tracker = choice.create_tracker(
+            random.Random(), clock, self._weight_of, self._settings.experiment
+        )
+        self._directory.subscribe(tracker.on_change)
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
