--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -16,6 +16,7 @@
 from tests import fakes
 
 _SIZES = (10, 30, 100, 300, 1000)
+_CUT_SIZES = (12, 30, 100, 300)
 _CENTRES = ("a", "b", "c", "d", "e", "f")
 _SETTLE_S = 3.0
 _IDLE_S = 20.0
@@ -130,6 +131,39 @@
     return (after - before) / size
 
 
+class Cut(typing.NamedTuple):
+    """What the cut of a data centre, and its end, cost.
+
+    Attributes:
+        size: Members.
+        parted_s: Until each side knows just its own members, in seconds.
+        healed_s: From the first contact after the cut until all agree.
+        healed_bytes: Bytes that a daemon sent for that.
+    """
+
+    size: int
+    parted_s: float
+    healed_s: float
+    healed_bytes: float
+
+
+def measure_cut(size: int) -> Cut:
+    """Cuts one of the data centres off for a while."""
+    fleet = fakes.create_fleet(size, _CENTRES)
+    fleet.advance(_SETTLE_S, _STEP_S)
+    everyone = set(fleet.members)
+    away = {f"m{number}" for number in range(0, size, len(_CENTRES))}
+    sides = {n: away if n in away else everyone - away for n in everyone}
+    fleet.part(away, everyone - away)
+    parted_s = _until(fleet, lambda m: m.sees() == sides[m.name])
+    fleet.advance(_IDLE_S, _STEP_S)
+    fleet.cut.clear()
+    sent = fleet.sent_bytes
+    fleet.join("m0", "m1")
+    healed_s = _until(fleet, lambda m: m.sees() == everyone)
+    return Cut(size, parted_s, healed_s, (fleet.sent_bytes - sent) / size)
+
+
 def main() -> None:
     """Prints the table."""
     print(
@@ -145,6 +179,14 @@
             f"{row.news_bytes:6.0f} {row.loss_s:6.2f}",
             flush=True,
         )
+    print("members cut seen s healed s healed B")
+    for size in _CUT_SIZES:
+        cut = measure_cut(size)
+        print(
+            f"{cut.size:7} {cut.parted_s:10.2f} {cut.healed_s:8.2f} "
+            f"{cut.healed_bytes:8.0f}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -9,18 +9,15 @@
 import aiohttp
 
 from savorybend.internal import admin
-from savorybend.internal import announcing
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
 from savorybend.internal import concurrency
-from savorybend.internal import configspread
 from savorybend.internal import configstore
-from savorybend.internal import configwatch
-from savorybend.internal import contact
 from savorybend.internal import dispatching
 from savorybend.internal import drain
 from savorybend.internal import entry
+from savorybend.internal import fleet
 from savorybend.internal import forwarding
 from savorybend.internal import guard
 from savorybend.internal import handles
@@ -28,13 +25,11 @@
 from savorybend.internal import inquiries
 from savorybend.internal import intake
 from savorybend.internal import issuing
-from savorybend.internal import joining
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import local
 from savorybend.internal import logs
 from savorybend.internal import members
-from savorybend.internal import membership
 from savorybend.internal import peers
 from savorybend.internal import platform
 from savorybend.internal import quarantine
@@ -52,8 +47,6 @@
 # How long a drain is given to reach the peers before the listeners close;
 # until then they are told to go elsewhere.
 _SPREAD_S = 1.0
-# Lets the last messages out before the connections close.
-_LAST_WORD_S = 0.2
 
 _log = logs.get()
 
@@ -72,7 +65,6 @@
     ):
         self._settings = settings
         self._session = session
-        self._rng = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
@@ -84,20 +76,7 @@
             settings.platform_url, platform_session
         )
         self._configuration = configstore.create_store(clock)
-        self._watcher = configwatch.create_watcher(
-            configwatch.Parts(
-                self._configuration,
-                self._platform,
-                self._directory,
-                clock,
-                self._rng,
-            )
-        )
-        self._membership = self._create_membership()
-        self._announcer = announcing.create_announcer(
-            self._directory, self._platform, self._rng
-        )
-        self._contact = self._create_contact()
+        self._fleet = self._create_fleet()
         self._journal = journal.create_journal(
             settings.name, settings.journal_entries
         )
@@ -151,24 +130,20 @@
         )
         for listener, address in zip(self._listeners, addresses, strict=True):
             await listener.start(address.host, address.port)
-        self._membership.start()
-        self._spawn(self._contact.run())
-        self._spawn(self._watcher.run())
+        for work in self._fleet.start():
+            self._spawn(work)
         self._spawn(self._limiter.keeper.run())
         _log.info("listening", call_address=str(settings.call_address))
 
     async def _stop(self) -> None:
         self.trigger("drain")
         self._serving.drain()
-        self._membership.set_state(members.DRAINING)
+        self._fleet.set_draining(True)
         await asyncio.sleep(_SPREAD_S)
         self._door.close()
         await self._finish_calls()
         await self._limiter.leave()
-        self._membership.leave()
-        await self._announcer.withdraw()
-        await asyncio.sleep(_LAST_WORD_S)
-        self._membership.stop()
+        await self._fleet.leave()
         for listener in self._listeners:
             await listener.stop()
         for task in self._tasks:
@@ -196,41 +171,22 @@
     def _on_backend_server(self, state: str) -> None:
         # While the daemon itself leaves, nothing brings it back.
         if self.state != "draining":
-            drained = state == "draining"
-            self._membership.set_state(
-                members.DRAINING if drained else members.SERVING
-            )
+            self._fleet.set_draining(state == "draining")
 
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
-    def _create_membership(self) -> membership.Membership:
-        spread = configspread.create_spread(
-            self._configuration, self._transport, self._timers
-        )
-        created = membership.create_membership(
-            membership.Parts(
-                self._directory,
-                self._transport,
-                self._timers,
-                self._rng,
-                spread,
-            )
-        )
-        self._configuration.subscribe(lambda _: created.tell_neighbours())
-        return created
-
-    def _create_contact(self) -> contact.Contact:
-        return contact.create_contact(
-            contact.Parts(
-                self._membership,
-                self._directory,
-                self._announcer,
-                joining.create_visitor(
-                    self._settings.fleet_secret, self._session
-                ),
-                self._settings.seeds,
-                self._rng,
+    def _create_fleet(self) -> fleet.Fleet:
+        return fleet.create_fleet(
+            fleet.Parts(
+                settings=self._settings,
+                directory=self._directory,
+                transport=self._transport,
+                timers=self._timers,
+                configuration=self._configuration,
+                store=self._platform,
+                session=self._session,
+                rng=random.Random(),
             )
         )
 
@@ -348,11 +304,7 @@
                 limiter=self._limiter,
                 status=self._status,
                 ready=lambda: self.state == "serving",
-                join=joining.create_door(
-                    self._settings.fleet_secret,
-                    self._timers.clock,
-                    self._contact.answer,
-                ).handle,
+                join=self._fleet.join,
             )
         )
         door = local.create_door(self._server, self._entry)
--- /dev/null
+++ b/src/savorybend/internal/fleet.py
@@ -0,0 +1,117 @@
+"""This daemon's part in the fleet: who is there, and what is in force."""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+import aiohttp
+
+from savorybend.internal import announcing
+from savorybend.internal import configspread
+from savorybend.internal import configstore
+from savorybend.internal import configwatch
+from savorybend.internal import contact
+from savorybend.internal import httpserver
+from savorybend.internal import joining
+from savorybend.internal import members
+from savorybend.internal import membership
+from savorybend.internal import platform
+from savorybend.internal import settings as settings_module
+from savorybend.internal import timers
+
+# Lets the last messages out before the connections close.
+_LAST_WORD_S = 0.2
+
+
+class Parts(typing.NamedTuple):
+    """What a daemon's part in the fleet is made of."""
+
+    settings: settings_module.Settings
+    directory: members.Directory
+    transport: membership.Transport
+    timers: timers.TimerService
+    configuration: configstore.Store
+    store: platform.Platform
+    session: aiohttp.ClientSession
+    rng: random.Random
+
+
+class Fleet:
+    """Membership, contact and configuration of one daemon."""
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        clock = parts.timers.clock
+        self._membership = _create_membership(parts)
+        self._announcer = announcing.create_announcer(
+            parts.directory, parts.store, parts.rng
+        )
+        self._contact = contact.create_contact(
+            contact.Parts(
+                self._membership,
+                parts.directory,
+                self._announcer,
+                joining.create_visitor(
+                    parts.settings.fleet_secret, parts.session
+                ),
+                parts.settings.seeds,
+                parts.rng,
+            )
+        )
+        self._door = joining.create_door(
+            parts.settings.fleet_secret, clock, self._contact.answer
+        )
+        self._watcher = configwatch.create_watcher(
+            configwatch.Parts(
+                parts.configuration,
+                parts.store,
+                parts.directory,
+                clock,
+                parts.rng,
+            )
+        )
+
+    @property
+    def join(self) -> httpserver.Handler:
+        """Answers daemons that introduce themselves."""
+        return self._door.handle
+
+    def start(self) -> list[collections.abc.Coroutine]:
+        """Begins to probe; returns the work to run until the end."""
+        self._membership.start()
+        return [self._contact.run(), self._watcher.run()]
+
+    def set_draining(self, draining: bool) -> None:
+        """Tells the fleet whether this daemon takes new work."""
+        state = members.DRAINING if draining else members.SERVING
+        self._membership.set_state(state)
+
+    async def leave(self) -> None:
+        """Tells the fleet and the platform that this daemon is gone."""
+        self._membership.leave()
+        await self._announcer.withdraw()
+        await asyncio.sleep(_LAST_WORD_S)
+        self._membership.stop()
+
+
+def _create_membership(parts: Parts) -> membership.Membership:
+    spread = configspread.create_spread(
+        parts.configuration, parts.transport, parts.timers
+    )
+    created = membership.create_membership(
+        membership.Parts(
+            parts.directory,
+            parts.transport,
+            parts.timers,
+            parts.rng,
+            spread,
+        )
+    )
+    parts.configuration.subscribe(lambda _: created.tell_neighbours())
+    return created
+
+
+def create_fleet(parts: Parts) -> Fleet:
+    """Returns the part in the fleet of the daemon that owns the directory."""
+    return Fleet(parts)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -126,6 +126,10 @@
         self.store.subscribe(lambda _: self.membership.tell_neighbours())
         self.membership.start()
 
+    @property
+    def name(self):
+        return self._name
+
     def send(self, peer, message):
         if not self.directory.get(peer):
             raise errors.PeerUnreachableError(peer)
