--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -30,11 +30,13 @@
 from savorybend.internal import local
 from savorybend.internal import logs
 from savorybend.internal import members
+from savorybend.internal import peerkeys
 from savorybend.internal import peers
 from savorybend.internal import platform
 from savorybend.internal import quarantine
 from savorybend.internal import receiving
 from savorybend.internal import records
+from savorybend.internal import recovering
 from savorybend.internal import requestpages
 from savorybend.internal import routing
 from savorybend.internal import serving
@@ -47,6 +49,8 @@
 # How long a drain is given to reach the peers before the listeners close;
 # until then they are told to go elsewhere.
 _SPREAD_S = 1.0
+# Callers without a key share one account that no configuration describes.
+_OPEN_WEIGHT = 1.0
 
 _log = logs.get()
 
@@ -68,10 +72,12 @@
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
-        keys = peers.create_key_pair()
+        keys = peerkeys.create_key_pair()
         own = _own_record(settings, keys.public)
         self._directory = members.create_directory(own)
-        self._transport = peers.create_transport(self._directory, keys)
+        self._transport = peers.create_transport(
+            self._directory, keys, self._timers
+        )
         self._platform = platform.create_platform(
             settings.platform_url, platform_session
         )
@@ -81,7 +87,9 @@
             settings.name, settings.journal_entries
         )
         self._limiter = self._create_limiter()
-        self._gate = concurrency.create_gate(clock)
+        self._gate = concurrency.create_gate(
+            self._timers, self._weight_of, settings.experiment
+        )
         self._server = backendserver.create_backend_server(self._gate)
         self._server.subscribe(self._on_backend_server)
         self._handles = handles.create_handles()
@@ -92,9 +100,8 @@
         self._dispatcher = self._create_dispatcher(clock, own)
         self._receiver = receiving.create_receiver(
             self._transport,
-            clock,
+            self._timers,
             dispatching.create_doorway(self._dispatcher, self._serving),
-            self._directory,
         )
         self._entry = self._create_entry(clock, own)
         self._door = drain.create_door(
@@ -161,6 +168,8 @@
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
         in_flight += self._guard.in_flight + self._records.running
+        # An answer that its peer hasn't received yet is still in flight.
+        in_flight += self._transport.waiting
         return in_flight + self._gate.in_use > 0
 
     def _on_configuration(self, current: snapshot.Snapshot) -> None:
@@ -173,6 +182,11 @@
         if self.state != "draining":
             self._fleet.set_draining(state == "draining")
 
+    def _weight_of(self, client_account: str) -> float:
+        current = self._configuration.in_force
+        account = current and current.accounts.get(client_account)
+        return account.weight if account else _OPEN_WEIGHT
+
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -207,20 +221,6 @@
             )
         )
 
-    def _create_limiter(self) -> limits.FleetLimiter:
-        limiter = limits.create_limiter(
-            limits.Parts(
-                timers=self._timers,
-                directory=self._directory,
-                store=self._platform,
-                send=self._transport.send,
-                random=random.Random(),
-            )
-        )
-        for kind in wire_limits.KINDS:
-            self._transport.subscribe(kind, limiter.receive)
-        return limiter
-
     def _create_intake(self) -> intake.Intake:
         return intake.create_intake(
             intake.Parts(
@@ -235,42 +235,67 @@
     def _create_dispatcher(
         self, clock: timers.Clock, own: members.Record
     ) -> dispatching.Dispatcher:
-        forwarder = forwarding.create_forwarder(
-            self._transport, clock, self._directory
-        )
+        forwarder = forwarding.create_forwarder(self._transport, self._timers)
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
-                tracker=choice.create_tracker(random.Random()),
+                tracker=self._create_tracker(clock),
                 local=self._serving,
                 forwarder=forwarder,
             )
         )
+        recovery = self._create_recovery(clock)
         self._guard = guard.create_guard(
             guard.Parts(
                 daemon=own.name,
                 issuer=self._issuer,
                 records=records.create_records(own.name, clock),
                 journal=self._journal,
+                recovery=recovery,
                 admit=self._intake.spend,
                 target=router,
             )
         )
-        inquirer = inquiries.create_inquirer(
-            inquiries.Parts(self._transport, self._journal, self._records)
-        )
         return dispatching.create_dispatcher(
             dispatching.Parts(
-                clock=clock,
                 directory=self._directory,
                 issuer=self._issuer,
                 guard=self._guard,
                 router=router,
                 forwarder=forwarder,
-                inquirer=inquirer,
+                recovery=recovery,
             )
         )
 
+    def _create_tracker(self, clock: timers.Clock) -> choice.Tracker:
+        tracker = choice.create_tracker(
+            random.Random(), clock, self._weight_of, self._settings.experiment
+        )
+        self._directory.subscribe(tracker.on_change)
+        return tracker
+
+    def _create_recovery(self, clock: timers.Clock) -> recovering.Recovery:
+        inquirer = inquiries.create_inquirer(
+            inquiries.Parts(self._transport, self._journal, self._records)
+        )
+        return recovering.create_recovery(
+            recovering.Parts(clock, self._directory, inquirer)
+        )
+
+    def _create_limiter(self) -> limits.FleetLimiter:
+        limiter = limits.create_limiter(
+            limits.Parts(
+                timers=self._timers,
+                directory=self._directory,
+                store=self._platform,
+                send=self._transport.send,
+                random=random.Random(),
+            )
+        )
+        for kind in wire_limits.KINDS:
+            self._transport.subscribe(kind, limiter.receive)
+        return limiter
+
     def _create_entry(
         self, clock: timers.Clock, own: members.Record
     ) -> entry.Entry:
@@ -310,7 +335,7 @@
         door = local.create_door(self._server, self._entry)
         limit = self._settings.header_limit_bytes
         return tuple(
-            httpserver.create_listener(handler, limit)
+            httpserver.create_listener(handler, limit, self._timers)
             for handler in (self._door.handle, door.handle, pages.handle)
         )
 
--- a/src/savorybend/internal/settings.py
+++ b/src/savorybend/internal/settings.py
@@ -9,6 +9,7 @@
 
 import savorybend
 from savorybend.internal import errors
+from savorybend.internal import experiments
 from savorybend.internal import logs
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -48,6 +49,7 @@
     drain_timeout_s: float
     journal_entries: int
     log_level: str
+    experiment: experiments.Switches
 
 
 class _Setting(typing.NamedTuple):
@@ -80,6 +82,10 @@
     return Address(host.strip("[]"), number)
 
 
+def _parse_optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
 def _parse_name(text: str) -> str:
     if not _NAME.fullmatch(text):
         raise ValueError("use a-z, 0-9 and '-', at most 63 characters")
@@ -202,6 +208,12 @@
         "how many requests the journal keeps",
     ),
     _Setting("log_level", _parse_level, "info", "debug, info, warning, error"),
+    _Setting(
+        "experiment",
+        experiments.parse,
+        "",
+        "mechanisms of overload control to turn off, for benchmarks only",
+    ),
 )
 
 
--- a/src/savorybend/internal/wire/codec.py
+++ b/src/savorybend/internal/wire/codec.py
@@ -6,6 +6,7 @@
 from savorybend.internal.wire import calls
 from savorybend.internal.wire import configuration
 from savorybend.internal.wire import limits
+from savorybend.internal.wire import links
 from savorybend.internal.wire import membership
 from savorybend.internal.wire import requests
 
@@ -13,6 +14,7 @@
     calls.Message
     | configuration.Message
     | limits.Message
+    | links.Message
     | membership.Message
     | requests.Message
 )
@@ -36,6 +38,11 @@
     Raises:
         errors.InvalidMessageError: The data is no message.
     """
+    if len(data) > LARGEST_MESSAGE_BYTES:
+        raise errors.InvalidMessageError(
+            f"a peer's message has {len(data)} bytes, more than "
+            f"{LARGEST_MESSAGE_BYTES}: run one version of savorybend on all VMs"
+        )
     try:
         return _DECODER.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
--- a/standins/site.py
+++ b/standins/site.py
@@ -34,6 +34,8 @@
         slots: The backend server's slots.
         work_ms: The backend server's time for a call, in milliseconds.
         children: What it calls: `PREFIX=METHOD:PATH`.
+        child_tries: How often it tries each child call.
+        cold_s: How long after its start it is slow, in seconds.
     """
 
     name: str
@@ -42,6 +44,8 @@
     slots: int = 16
     work_ms: float = 2.0
     children: tuple[str, ...] = ()
+    child_tries: int = 1
+    cold_s: float = 0.0
 
 
 class Addresses(typing.NamedTuple):
@@ -82,7 +86,10 @@
         self.platform = self.book.next()
         self.workers: dict[str, Worker] = {}
         self.addresses: dict[str, Addresses] = {}
-        self.proxies: dict[str, list[proxies.Proxy]] = {}
+        # The proxies between peers and the daemons added `proxied`.
+        self.proxies: dict[str, proxies.Proxy] = {}
+        self._admin_proxies: dict[str, proxies.Proxy] = {}
+        self._all_proxies: list[proxies.Proxy] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self):
@@ -143,6 +150,8 @@
         options += ["--service", worker.service]
         options += ["--slots", str(worker.slots)]
         options += ["--work-ms", str(worker.work_ms)]
+        options += ["--child-tries", str(worker.child_tries)]
+        options += ["--cold-s", str(worker.cold_s)]
         for child in worker.children:
             options += ["--child", child]
         await self._start(backend_of(name), "standins.backend", *options)
@@ -182,40 +191,42 @@
         async with self.session.get(url) as answer:
             return await answer.json()
 
+    def effects(self):
+        """Counts the effects of non-GET calls, whoever was killed since."""
+        found = collections.Counter()
+        for name in self.workers:
+            for line in self.log(backend_of(name)).splitlines():
+                if line.startswith("effect "):
+                    found[line.removeprefix("effect ")] += 1
+        return found
+
     async def put_proxy(self, target):
         """Starts a proxy in front of an address; returns it and its own."""
         address = self.book.next()
         proxy = proxies.Proxy(_split(address), _split(target))
         await proxy.start()
-        self.proxies.setdefault("", []).append(proxy)
+        self._all_proxies.append(proxy)
         return proxy, address
 
     async def _announce_proxies(self, name):
         at = self.addresses[name]
-        for field in ("peer", "admin"):
-            proxy, address = await self.put_proxy(getattr(at, field))
-            self.proxies.setdefault(name, []).append(proxy)
-            variable = f"ANNOUNCED_{field.upper()}_ADDRESS"
-            self._settings[name][variable] = address
+        announced = self._settings[name]
+        proxy, address = await self.put_proxy(at.peer)
+        self.proxies[name] = proxy
+        announced["ANNOUNCED_PEER_ADDRESS"] = address
+        proxy, address = await self.put_proxy(at.admin)
+        self._admin_proxies[name] = proxy
+        announced["ANNOUNCED_ADMIN_ADDRESS"] = address
 
     def cut(self, name):
         """Cuts the ways to a daemon that was added `proxied`."""
-        for proxy in self.proxies[name]:
-            proxy.inject(proxies.Fault.CUT)
+        self.proxies[name].inject(proxies.Fault.CUT)
+        self._admin_proxies[name].inject(proxies.Fault.CUT)
 
     def heal(self, name):
         """Ends what `cut` began."""
-        for proxy in self.proxies[name]:
-            proxy.heal()
-
-    def effects(self):
-        """Counts the effects of non-GET calls, whoever was killed since."""
-        found = collections.Counter()
-        for name in self.workers:
-            for line in self.log(backend_of(name)).splitlines():
-                if line.startswith("effect "):
-                    found[line.removeprefix("effect ")] += 1
-        return found
+        self.proxies[name].heal()
+        self._admin_proxies[name].heal()
 
     async def control(self, name, **faults):
         """Sets faults of a worker's backend server."""
@@ -293,7 +304,7 @@
                 process.kill()
         for process in self._processes.values():
             await process.wait()
-        for proxy in self.proxies.get("", ()):
+        for proxy in self._all_proxies:
             await proxy.stop()
 
     async def _start(self, name, module, *arguments, **environment):
--- a/tests/documents.py
+++ b/tests/documents.py
@@ -7,9 +7,11 @@
 OTARU = keys.from_secret("otaru-1", "o" * 32)
 
 
-def create_site() -> configuration.Site:
+def create_site(
+    data_centres: tuple[str, ...] = ("east", "west"),
+) -> configuration.Site:
     """Returns a site of three services, front, middle and back."""
-    site = configuration.create_site(["east", "west"])
+    site = configuration.create_site(list(data_centres))
     for service in ("front", "middle", "back"):
         site.add_service(service)
         site.add_route(service, path=f"/{service}", service=service)
