Shut a daemon down whose name was started anew

Cause: a daemon that was frozen while its VM was replaced came back alone: its peers refuse its key, and it went on to serve callers with what it knew. Change: an introduction is answered with the newer record of that name, and the older daemon shuts down as on SIGTERM.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -4,7 +4,6 @@
 import collections.abc
 import random
 import signal
-import time
 
 import aiohttp
 
@@ -73,7 +72,7 @@
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
         keys = peerkeys.create_key_pair()
-        own = _own_record(settings, keys.public)
+        own = fleet.create_record(settings, keys.public)
         self._directory = members.create_directory(own)
         self._transport = peers.create_transport(
             self._directory, keys, self._timers
@@ -115,6 +114,7 @@
     async def run(self) -> None:
         """Serves until a signal asks for a graceful shutdown."""
         stop = asyncio.Event()
+        self._fleet.subscribe_replaced(stop.set)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
@@ -362,29 +362,6 @@
         )
 
 
-def _own_record(
-    settings: settings_module.Settings, public_key: str
-) -> members.Record:
-    return members.Record(
-        name=settings.name,
-        # Two starts of a daemon are never in the same millisecond, and a
-        # replaced VM has no disk to count them on.
-        incarnation=time.time_ns() // 1_000_000,
-        data_centre=settings.data_centre,
-        service=settings.service,
-        call_address=str(
-            settings.announced_call_address or settings.call_address
-        ),
-        peer_address=str(
-            settings.announced_peer_address or settings.peer_address
-        ),
-        admin_address=str(
-            settings.announced_admin_address or settings.admin_address
-        ),
-        public_key=public_key,
-    )
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Runs a daemon until a signal asks for a graceful shutdown."""
     async with (
--- a/src/savorybend/internal/contact.py
+++ b/src/savorybend/internal/contact.py
@@ -59,7 +59,7 @@
         name = request.record.name
         before = roster.get(name)
         accused = []
-        if before is not None and before.state != rosters.ALIVE:
+        if before is not None and _says_more(before, request.record):
             accused = [roster.update_of(before)]
         self._parts.membership.take(
             [wire.Update(request.record, rosters.ALIVE), *request.known]
@@ -148,6 +148,10 @@
         ]
 
 
+def _says_more(known: rosters.Entry, shown: members.Record) -> bool:
+    return known.state != rosters.ALIVE or known.record.age_key > shown.age_key
+
+
 def create_contact(parts: Parts) -> Contact:
     """Returns what keeps a daemon in touch with the fleet."""
     return Contact(parts)
--- a/src/savorybend/internal/fleet.py
+++ b/src/savorybend/internal/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import random
+import time
 import typing
 
 import aiohttp
@@ -77,6 +78,12 @@
         """Answers daemons that introduce themselves."""
         return self._door.handle
 
+    def subscribe_replaced(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Calls `listener` when this daemon's name was started anew."""
+        self._membership.roster.subscribe_replaced(listener)
+
     def start(self) -> list[collections.abc.Coroutine]:
         """Begins to probe; returns the work to run until the end."""
         self._membership.start()
@@ -112,6 +119,30 @@
     return created
 
 
+def create_record(
+    settings: settings_module.Settings, public_key: str
+) -> members.Record:
+    """Returns what a daemon that starts now announces of itself."""
+    return members.Record(
+        name=settings.name,
+        # Two starts of a daemon are never in the same millisecond, and a
+        # replaced VM has no disk to count them on.
+        incarnation=time.time_ns() // 1_000_000,
+        data_centre=settings.data_centre,
+        service=settings.service,
+        call_address=str(
+            settings.announced_call_address or settings.call_address
+        ),
+        peer_address=str(
+            settings.announced_peer_address or settings.peer_address
+        ),
+        admin_address=str(
+            settings.announced_admin_address or settings.admin_address
+        ),
+        public_key=public_key,
+    )
+
+
 def create_fleet(parts: Parts) -> Fleet:
     """Returns the part in the fleet of the daemon that owns the directory."""
     return Fleet(parts)
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -67,6 +67,7 @@
         self._entries: dict[str, Entry] = {}
         self._below: dict[str, list[Entry]] = {}
         self._listeners: list[Listener] = []
+        self._replaced_listeners: list[collections.abc.Callable[[], None]] = []
         self._leaving = False
         own = Entry(directory.own, ALIVE, clock.now_s())
         self._insert(own)
@@ -85,6 +86,12 @@
         """Calls `listener` with each update that was news."""
         self._listeners.append(listener)
 
+    def subscribe_replaced(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Calls `listener` when this daemon's name was started anew."""
+        self._replaced_listeners.append(listener)
+
     def get(self, name: str) -> Entry | None:
         """Returns what is known of a daemon."""
         return self._entries.get(name)
@@ -178,7 +185,9 @@
             self._tell(wire.Update(own, ALIVE))
             return False
         if update.record.incarnation > own.incarnation:
-            # A later start of this name; this daemon has been replaced.
+            # Its key is refused everywhere in favour of the later start's.
+            for listener in self._replaced_listeners:
+                listener()
             return False
         # Only this daemon raises its revision, so the others drop the
         # accusation as soon as they hear of the new one.
--- a/tests/integration/test_outages.py
+++ b/tests/integration/test_outages.py
@@ -153,3 +153,24 @@
         await site.start_daemon("back-3")
         await site.wait_listening("back-3")
         assert await fleets.until(fleets.agree(site))
+
+
+async def test_a_daemon_that_was_replaced_while_frozen_shuts_down():
+    names = ["back-0", "back-1"]
+    workers = [sites.Worker(name, "east", "back") for name in names]
+    async with sites.create_site() as site:
+        await _start(site, workers)
+        site.freeze("back-0")
+        twin = sites.Worker("twin", "east", "back")
+        await site.add([twin], NAME="back-0")
+        known = fleets.until(lambda: _sees_anew(site, "back-1", "twin"))
+        assert await known
+        site.resume("back-0")
+        async with asyncio.timeout(fleets.SETTLE_S):
+            assert await site.wait_ended("back-0") == 0
+        assert await _sees_anew(site, "back-1", "twin")
+
+
+async def _sees_anew(site, name, successor):
+    addresses = [r["call_address"] for r in await site.ask(name, "daemons")]
+    return site.addresses[successor].call in addresses
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -85,6 +85,18 @@
     assert roster.get("a").state == "alive"
 
 
+def test_a_daemon_whose_name_was_started_anew_learns_of_it():
+    fleet = fakes.create_fleet(3)
+    old = fleet.members["m0"]
+    fleet.add("m0", incarnation=2)
+    fleet.join("m0", "m1")
+    seen = []
+    old.membership.roster.subscribe_replaced(lambda: seen.append(True))
+    request = wire.JoinRequest(old.directory.own, False, [])
+    old.membership.take(fleet.members["m1"].contact.answer(request).updates)
+    assert seen
+
+
 def _disagree(fleet):
     return [m for m in fleet.members.values() if m.sees() != set(fleet.members)]
 
