--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -8,7 +8,6 @@
 from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import configstore
-from savorybend.internal import errors
 from savorybend.internal import guard
 from savorybend.internal import handles
 from savorybend.internal import headers
@@ -20,6 +19,7 @@
 from savorybend.internal import outcomes
 from savorybend.internal import requestids
 from savorybend.internal import timers
+from savorybend.internal import uploads
 
 _REQUEST_IDS_PATH = "/savorybend/v1/request-ids"
 _ENTRIES_PATH = "/savorybend/v1/entries"
@@ -110,10 +110,13 @@
             return self._refuse(
                 call, request.headers.get(headers.REQUEST_ID, "")
             )
-        body = await self._read_body(request, call)
+        body = await uploads.read(
+            request, call, self._parts.body_limit_bytes, self._parts.clock
+        )
         if isinstance(body, outcomes.Refuse):
             return self._refuse(body, call.request_id, call)
         answer = await self._execute(request, call, body)
+        answer = uploads.judge(call, body, answer)
         response = await httpanswers.send(request, answer, call.request_id)
         passed_s = self._parts.clock.now_s() - started_s
         metrics.call_seconds(
@@ -142,7 +145,11 @@
         live = self._parts.handles.find(request.headers.get(headers.HANDLE, ""))
         if not call.depth or not live:
             return await self._parts.target.execute(call, body)
-        answer = await self._parts.target.execute(call, body)
+        live.child_started(self._parts.clock.now_s())
+        try:
+            answer = await self._parts.target.execute(call, body)
+        finally:
+            live.child_ended(self._parts.clock.now_s())
         self._settle_child(live, call, answer)
         return answer
 
@@ -154,28 +161,10 @@
     ) -> None:
         live.take_back_retries(call.retries, answer.retries_spent)
         live.effects = live.effects or answer.effects
+        live.threshold = max(live.threshold, answer.threshold)
         if answer.outcome is not outcomes.Outcome.RAN or answer.status >= 500:
             live.failed_below = True
 
-    async def _read_body(
-        self, request: web.BaseRequest, call: calls.Call
-    ) -> bodies.Body | outcomes.Refuse:
-        length = request.content_length
-        if length is not None and length > self._parts.body_limit_bytes:
-            return outcomes.refuse(
-                outcomes.BODY_TOO_LARGE,
-                f"{length} bytes; at most {self._parts.body_limit_bytes}",
-            )
-        if not request.body_exists:
-            return bodies.EMPTY
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0
-        if length is not None and length <= bodies.INLINE_BYTES:
-            return bodies.WholeBody(await request.content.read(-1))
-        read = _bounded(request, self._parts.body_limit_bytes)
-        return bodies.StreamedBody(read, length)
-
     def _refuse(
         self,
         refusal: outcomes.Refuse,
@@ -216,22 +205,6 @@
         return outcomes.Outcome.UNKNOWN
 
 
-def _bounded(request: web.BaseRequest, limit: int):
-    seen = 0
-
-    async def read() -> bytes:
-        nonlocal seen
-        data = await request.content.readany()
-        seen += len(data)
-        if seen > limit:
-            raise errors.AnswerLostError(
-                f"the body has more than {limit} bytes: send a smaller one"
-            )
-        return data
-
-    return read
-
-
 def create_entry(parts: Parts) -> Entry:
     """Returns the entry of a daemon."""
     return Entry(parts)
--- a/src/savorybend/internal/handles.py
+++ b/src/savorybend/internal/handles.py
@@ -22,24 +22,33 @@
         handle: What the backend server shows to make child calls.
         effects: Whether a call that must not run twice was started behind it.
         failed_below: Whether a child call failed.
+        threshold: The highest admission threshold behind it.
     """
 
     __slots__ = (
         "_call",
         "_children",
+        "_children_s",
+        "_pending",
+        "_pending_since_s",
         "_retries_left",
         "effects",
         "failed_below",
         "handle",
+        "threshold",
     )
 
     def __init__(self, handle: str, call: calls.Call):
         self._call = call
         self._children = 0
+        self._children_s = 0.0
+        self._pending = 0
+        self._pending_since_s = 0.0
         self.handle = handle
         self._retries_left = call.retries
         self.effects = False
         self.failed_below = False
+        self.threshold = calls.NO_THRESHOLD
 
     @property
     def call(self) -> calls.Call:
@@ -70,6 +79,23 @@
         """Takes back what a child was lent and didn't use."""
         self._retries_left += max(0, lent - spent)
 
+    @property
+    def children_s(self) -> float:
+        """Seconds in which it waited for at least one child call."""
+        return self._children_s
+
+    def child_started(self, now_s: float) -> None:
+        """Notes that it waits for a child call."""
+        if not self._pending:
+            self._pending_since_s = now_s
+        self._pending += 1
+
+    def child_ended(self, now_s: float) -> None:
+        """Notes that a child call is over."""
+        self._pending -= 1
+        if not self._pending:
+            self._children_s += now_s - self._pending_since_s
+
     def next_child_id(self) -> str:
         """Returns the ID of its next child call."""
         self._children += 1
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -65,11 +65,12 @@
         self._chart = charts.load("member")
         self._tree = signatures.create_tree()
         self._entries: dict[str, Entry] = {}
+        self._below: dict[str, list[Entry]] = {}
         self._listeners: list[Listener] = []
+        self._replaced_listeners: list[collections.abc.Callable[[], None]] = []
         self._leaving = False
         own = Entry(directory.own, ALIVE, clock.now_s())
-        self._entries[own.record.name] = own
-        self._toggle(own)
+        self._insert(own)
 
     @property
     def tree(self) -> signatures.Tree:
@@ -85,6 +86,12 @@
         """Calls `listener` with each update that was news."""
         self._listeners.append(listener)
 
+    def subscribe_replaced(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Calls `listener` when this daemon's name was started anew."""
+        self._replaced_listeners.append(listener)
+
     def get(self, name: str) -> Entry | None:
         """Returns what is known of a daemon."""
         return self._entries.get(name)
@@ -93,6 +100,10 @@
         """Returns what is known of every daemon."""
         return self._entries.values()
 
+    def below(self, leaf: str) -> list[Entry]:
+        """Returns the daemons below a leaf of the tree of signatures."""
+        return self._below.get(leaf, [])
+
     def in_state(self, state: str) -> list[Entry]:
         """Returns the daemons in a state."""
         return [e for e in self._entries.values() if e.state == state]
@@ -162,6 +173,7 @@
             if now_s - entry.since_s > _KEEP_S.get(entry.state, math.inf):
                 self._toggle(entry)
                 del self._entries[name]
+                self._below[signatures.leaf_of(name)].remove(entry)
 
     def _take_own(self, update: wire.Update) -> bool:
         own = self.own
@@ -173,7 +185,9 @@
             self._tell(wire.Update(own, ALIVE))
             return False
         if update.record.incarnation > own.incarnation:
-            # A later start of this name; this daemon has been replaced.
+            # Its key is refused everywhere in favour of the later start's.
+            for listener in self._replaced_listeners:
+                listener()
             return False
         # Only this daemon raises its revision, so the others drop the
         # accusation as soon as they hear of the new one.
@@ -194,12 +208,17 @@
             return False
         since_s = self._clock.now_s() - max(0.0, update.age_s)
         entry = Entry(update.record, update.state, since_s)
-        self._entries[update.record.name] = entry
-        self._toggle(entry)
+        self._insert(entry)
         self._settle(entry)
         self._tell(update)
         return True
 
+    def _insert(self, entry: Entry) -> None:
+        name = entry.record.name
+        self._entries[name] = entry
+        self._below.setdefault(signatures.leaf_of(name), []).append(entry)
+        self._toggle(entry)
+
     def _settle(self, entry: Entry) -> None:
         if entry.state in _PRESENT:
             self._directory.put(entry.record)
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -123,10 +123,13 @@
             return False
         if _ran_nothing(tries.last):
             elsewhere = tries.last.reason in _ELSEWHERE
-            return elsewhere and bool(self._choose(tries))
+            return elsewhere and self._has_another(tries)
         if not tries.failed_here():
             return False
-        return bool(self._choose(tries)) and self._ratio.take()
+        return self._has_another(tries) and self._ratio.take()
+
+    def _has_another(self, tries: "_Tries") -> bool:
+        return isinstance(self._choose(tries), members.Record)
 
     def _choose(self, tries: "_Tries"):
         found = self._choose_among(tries.call, tries.tried)
@@ -149,12 +152,12 @@
         self, record: members.Record, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
         answer: calls.Answer | None = None
-        self._tracker.started(record.name)
+        given = self._tracker.started(record.name, call.route)
         try:
             answer = await self._target(record).execute(call, body)
             return answer
         finally:
-            self._tracker.ended(record.name, answer)
+            self._tracker.ended(given, answer)
 
     def _target(self, record: members.Record) -> calls.Target:
         if record.name == self._directory.own.name:
