Leave the old connection of a restarted peer before any call goes to it

Cause: the connection to a peer was dropped at the news of its restart only where a link with calls stood. Where only probes or tokens had been sent, the connection kept expecting the old key, and nothing arrived any more. Change: a connection knows the key that it was made for, and goes when the peer's record has another.

--- a/src/savorybend/internal/connections.py
+++ b/src/savorybend/internal/connections.py
@@ -52,15 +52,17 @@
     """The ways to one peer.
 
     Attributes:
+        key: The peer's public key.
         dealer: The connection that this daemon opened, or None.
         route: The ROUTER's name for the one that the peer opened, or None.
         inward: Whether `route` is used although there is a dealer.
         used: Whether anything was sent since the last sweep.
     """
 
-    __slots__ = ("dealer", "inward", "route", "used")
+    __slots__ = ("dealer", "inward", "key", "route", "used")
 
-    def __init__(self):
+    def __init__(self, key: str):
+        self.key = key
         self.dealer: zmq.Socket | None = None
         self.route: Way = None
         self.inward = False
@@ -166,6 +168,12 @@
             self._close(path.dealer)
         metrics.PEER_CONNECTIONS.set(len(self._paths))
 
+    def drop_unless(self, peer: str, key: str) -> None:
+        """Closes the connections to a peer that has another key by now."""
+        path = self._paths.get(peer)
+        if path is not None and path.key != key:
+            self.drop(peer)
+
     def sweep(self, busy: collections.abc.Container[str]) -> None:
         """Closes what was not used since the last sweep.
 
@@ -233,7 +241,7 @@
             raise errors.PeerUnreachableError(
                 f"daemon {peer!r} is not known: choose another"
             )
-        path = self._paths.setdefault(peer, _Path())
+        path = self._paths.setdefault(peer, _Path(record.public_key))
         # The socket gets no name of its own: the peer knows it by its key, so
         # that no daemon can claim another's name.
         socket = self._create_socket(zmq.DEALER)
@@ -284,11 +292,12 @@
         if route[:1] != _NAMED_BY_ROUTER:
             metrics.peer_refusals("claimed-name").inc()
             return None
-        peer = self._directory.name_of_key(frame.get("User-Id"))
+        key = frame.get("User-Id")
+        peer = self._directory.name_of_key(key)
         if not isinstance(peer, str):
             metrics.peer_refusals("unannounced-key").inc()
             return None
-        path = self._paths.setdefault(peer, _Path())
+        path = self._paths.setdefault(peer, _Path(key))
         if path.route is not None:
             self._peers.pop(path.route, None)
         path.route = route
--- a/src/savorybend/internal/peers.py
+++ b/src/savorybend/internal/peers.py
@@ -245,21 +245,22 @@
             listener(peer)
 
     def _on_change(self, change: members.Change) -> None:
-        record = change.record
-        link = self._links.get(record.name)
-        if link is None:
-            return
+        name = change.record.name
+        link = self._links.get(name)
         match change:
             case members.Gone():
-                # The counters stay, in case the peer was only frozen.
-                link.abandon()
-            case members.Joined():
-                if link.key == record.public_key:
+                self._connections.drop(name)
+                if link is not None:
+                    # The counters stay, in case the peer was only frozen.
+                    link.abandon()
+            case members.Joined(record=record):
+                self._connections.drop_unless(name, record.public_key)
+                if link is None or link.key == record.public_key:
                     return
-                del self._links[record.name]
-                self._active.discard(record.name)
-        self._connections.drop(record.name)
-        self._broken(record.name)
+                del self._links[name]
+                self._active.discard(name)
+        if link is not None:
+            self._broken(name)
 
     def _sweep(self) -> None:
         self._connections.sweep(self._active)
--- a/tests/integration/test_connections.py
+++ b/tests/integration/test_connections.py
@@ -9,6 +9,10 @@
 from savorybend.internal import errors
 from savorybend.internal import members
 from savorybend.internal import peerkeys
+from savorybend.internal import peers
+from savorybend.internal import timers
+from savorybend.internal.wire import codec
+from savorybend.internal.wire import membership
 from standins import site as sites
 
 pytestmark = pytest.mark.asyncio
@@ -19,12 +23,12 @@
 class _End:
     """A daemon's connections, and what arrived over them."""
 
-    def __init__(self, name, address):
+    def __init__(self, name, address, incarnation=1):
         self.name = name
         self.address = address
         self.keys = peerkeys.create_key_pair()
         fields = ("east", "back", "call", address, "admin", self.keys.public)
-        self.record = members.Record(name, 1, *fields)
+        self.record = members.Record(name, incarnation, *fields)
         self.directory = members.create_directory(self.record)
         self.arrived = asyncio.Queue()
         self.connections = connections.create_connections(
@@ -101,3 +105,24 @@
 async def test_an_unknown_peer_is_unreachable(pair):
     with pytest.raises(errors.PeerUnreachableError, match="choose another"):
         pair[0].connections.send("three", b"")
+
+
+async def test_a_restarted_peer_is_reached_before_any_call_goes_to_it(pair):
+    # The connection to a peer that had been sent no calls yet was kept over
+    # its restart, and nothing arrived over it any more.
+    one, two = pair
+    transport = peers.Transport(one.directory, timers.create_timer_service())
+    transport.use(one.connections)
+    message = membership.ProbeForReply(1)
+    transport.send("two", message)
+    await two.take()
+    two.connections.close()
+    # The library ends its wait for handshakes later in the loop, and by
+    # descriptor, which the restarted peer would be given again.
+    await asyncio.sleep(0.1)
+    restarted = _End("two", two.address, incarnation=2)
+    restarted.directory.put(one.record)
+    one.directory.put(restarted.record)
+    transport.send("two", message)
+    two.connections = restarted.connections
+    assert (await restarted.take())[:2] == ("one", codec.encode(message))
