--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 import pytest_asyncio
 
@@ -10,6 +9,7 @@
 from standins import proxy
 from standins import site as sites
 from tests import documents
+from tests.integration import started
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -23,19 +23,19 @@
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def site():
-    async with sites.create_site() as made:
-        await made.add(_WORKERS, proxied=True)
-        document = documents.create_site().to_json().encode()
-        await made.ctl("config", "submit", "-", stdin=document)
-        await made.wait_ready()
-        yield made
+async def made():
+    async with started.create(_WORKERS, proxied=True) as both:
+        yield both
 
 
-@pytest_asyncio.fixture(scope="module", loop_scope="module")
-async def maruyama(site):
-    async with aiohttp.ClientSession() as session:
-        yield callers.Caller(session, documents.MARUYAMA.text)
+@pytest.fixture
+def site(made):
+    return made[0]
+
+
+@pytest.fixture
+def maruyama(made):
+    return made[1]
 
 
 async def _post(site, person, entry, request_id, data=b"3 crates"):
@@ -45,6 +45,7 @@
         method="POST",
         headers={"Savorybend-Request-Id": request_id},
         data=data,
+        timeout_s=_DEADLINE_S,
     )
 
 
@@ -101,14 +102,40 @@
     while (await site.record("back-1"))["in_use"] == before:
         await asyncio.sleep(_POLL_S)
     for link in site.proxies.values():
-        link.inject(proxy.Fault.CUT)
-        link.heal()
+        # Open connections say no more; new ones work.
+        link.inject(proxy.Fault.SILENT, affects_new=False)
     answer = await call
+    for link in site.proxies.values():
+        link.heal()
     await site.control("back-1", slow=1)
     assert (answer.status, answer.outcome) == (200, "ran")
     assert await _runs(site, request_id) == 1
 
 
+async def test_an_answer_given_up_is_found_when_it_is_asked_for_again(
+    site, maruyama
+):
+    request_id = await _take(site, maruyama, "front-1")
+    await site.control("back-1", slow=5)
+    call = asyncio.create_task(_post(site, maruyama, "front-1", request_id))
+    while (await site.record("back-1"))["in_use"] == 0:
+        await asyncio.sleep(_POLL_S)
+    # Its peers take the daemon for dead while the backend server answers it.
+    site.freeze("back-1")
+    assert (await call).outcome == "unknown"
+    site.resume("back-1")
+    await site.control("back-1", slow=1)
+    async with asyncio.timeout(_DEADLINE_S):
+        while True:
+            answer = await _post(site, maruyama, "back-2", request_id)
+            if answer.outcome == "ran":
+                break
+            assert answer.outcome == "unknown"
+            await asyncio.sleep(_POLL_S)
+    assert answer.status == 200
+    assert await _runs(site, request_id) == 1
+
+
 async def test_another_request_under_the_id_is_not_run(site, maruyama):
     request_id = await _take(site, maruyama, "back-1")
     await _post(site, maruyama, "back-1", request_id)
@@ -146,6 +173,10 @@
     site.kill(name)
     await site.wait_ended(name)
     await site.start_daemon(name)
+    await _wait_replaced(site, name, request_id)
+
+
+async def _wait_replaced(site, name, request_id):
     await site.wait_listening(name)
     old = int(request_id.split(".")[1], 16)
     async with asyncio.timeout(_DEADLINE_S):
@@ -179,3 +210,24 @@
             # The issuer may have served it itself, so "not run" is no proof.
             assert (answer.outcome, answer.reason) == ("unknown", "issuer-lost")
         assert await _runs(site, request_id) == runs
+
+
+async def test_an_issuer_that_leaves_in_good_order_says_what_is_unused(
+    site, maruyama
+):
+    used, unused = await maruyama.take_ids(site.addresses["back-2"].call, 2)
+    first = await _post(site, maruyama, "back-2", used)
+    site.terminate("back-2")
+    assert await site.wait_ended("back-2") == 0
+    await site.start_daemon("back-2")
+    await _wait_replaced(site, "back-2", used)
+    stranger = callers.Caller(site.session, documents.OTARU.text)
+    for entry in ("front-1", "back-1"):
+        answer = await _post(site, maruyama, entry, unused)
+        assert (answer.outcome, answer.reason) == ("not-run", "never-seen")
+        # Of these it said nothing that proves they did not run.
+        assert first.outcome == "ran"
+        for person, request_id in ((maruyama, used), (stranger, unused)):
+            answer = await _post(site, person, entry, request_id)
+            assert answer.outcome == "unknown"
+    assert await _runs(site, unused) == 0
