Give the test of a daemon taken for dead a site of its own

Change: that test starts its own site, and asserts what it did before. Left: an inquiry that a peer doesn't answer in a second still says "issuer-lost", where "send it again" would be the better word.

--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -112,9 +112,13 @@
     assert await _runs(site, request_id) == 1
 
 
-async def test_an_answer_given_up_is_found_when_it_is_asked_for_again(
-    site, maruyama
-):
+async def test_an_answer_given_up_is_found_when_it_is_asked_for_again():
+    # A site of its own: the daemon is taken for dead, and comes back.
+    async with started.create(_WORKERS) as (site, maruyama):
+        await _find_again(site, maruyama)
+
+
+async def _find_again(site, maruyama):
     request_id = await _take(site, maruyama, "front-1")
     await site.control("back-1", slow=5)
     call = asyncio.create_task(_post(site, maruyama, "front-1", request_id))
