Raise a threshold only for child calls that were shed

Ruled out: a floor for the class that is cut in part (trials, no gain). Change: the gate counts as shed only what has a parent.

--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -264,7 +264,10 @@
     def _refuse(
         self, call: calls.Call, reason: outcomes.Reason
     ) -> outcomes.Refuse:
-        self._controller.shed()
+        # A call that enters here has cost nothing yet, and this gate refuses
+        # it as cheaply as any entry and more exactly.
+        if call.depth:
+            self._controller.shed()
         metrics.shed(
             call.client_account, call.priority, reason.name, "gate"
         ).inc()
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -32,11 +32,12 @@
         self.served = collections.Counter()
         self.refused = []
 
-    async def send(self, account="a", priority=5, left_s=60.0):
+    async def send(self, account="a", priority=5, left_s=60.0, depth=0):
         """Sends a call; returns a refusal that came at once, or None."""
         call = fakes.create_call(
             client_account=account,
             priority=priority,
+            depth=depth,
             deadline_s=self.clock.now_s() + left_s,
         )
         task = asyncio.ensure_future(self.gate.enter(call))
@@ -218,6 +219,18 @@
     assert stage.gate.in_use == 0
 
 
+@pytest.mark.parametrize(("depth", "raised"), [(0, False), (1, True)])
+async def test_only_calls_that_cost_something_raise_the_threshold(
+    depth, raised
+):
+    stage = Stage(slots=2)
+    for _ in range(20):
+        await stage.send(depth=depth)
+    await stage.advance(0.3)
+    assert stage.refused
+    assert (stage.gate.threshold > 0) == raised
+
+
 # The gate once gave the place of a caller who had just left to its cancelled
 # future, and the error took the call that had ended down with it.
 async def test_a_caller_who_leaves_as_its_turn_comes_is_passed_over():
