--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -4,23 +4,20 @@
 import collections.abc
 import random
 import signal
-import time
 
 import aiohttp
 
 from savorybend.internal import admin
-from savorybend.internal import announcing
 from savorybend.internal import backendserver
 from savorybend.internal import charts
 from savorybend.internal import choice
+from savorybend.internal import collector
 from savorybend.internal import concurrency
-from savorybend.internal import configspread
 from savorybend.internal import configstore
-from savorybend.internal import configwatch
-from savorybend.internal import contact
 from savorybend.internal import dispatching
 from savorybend.internal import drain
 from savorybend.internal import entry
+from savorybend.internal import fleet
 from savorybend.internal import forwarding
 from savorybend.internal import guard
 from savorybend.internal import handles
@@ -28,13 +25,11 @@
 from savorybend.internal import inquiries
 from savorybend.internal import intake
 from savorybend.internal import issuing
-from savorybend.internal import joining
 from savorybend.internal import journal
 from savorybend.internal import limits
 from savorybend.internal import local
 from savorybend.internal import logs
 from savorybend.internal import members
-from savorybend.internal import membership
 from savorybend.internal import peerkeys
 from savorybend.internal import peers
 from savorybend.internal import platform
@@ -48,6 +43,7 @@
 from savorybend.internal import settings as settings_module
 from savorybend.internal import snapshot
 from savorybend.internal import timers
+from savorybend.internal import wills
 from savorybend.internal.wire import limits as wire_limits
 
 _POLL_S = 0.05
@@ -56,8 +52,6 @@
 _SPREAD_S = 1.0
 # Callers without a key share one account that no configuration describes.
 _OPEN_WEIGHT = 1.0
-# Lets the last messages out before the connections close.
-_LAST_WORD_S = 0.2
 
 _log = logs.get()
 
@@ -76,12 +70,11 @@
     ):
         self._settings = settings
         self._session = session
-        self._rng = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
         keys = peerkeys.create_key_pair()
-        own = _own_record(settings, keys.public)
+        own = fleet.create_record(settings, keys.public)
         self._directory = members.create_directory(own)
         self._transport = peers.create_transport(
             self._directory, keys, self._timers
@@ -90,20 +83,7 @@
             settings.platform_url, platform_session
         )
         self._configuration = configstore.create_store(clock)
-        self._watcher = configwatch.create_watcher(
-            configwatch.Parts(
-                self._configuration,
-                self._platform,
-                self._directory,
-                clock,
-                self._rng,
-            )
-        )
-        self._membership = self._create_membership()
-        self._announcer = announcing.create_announcer(
-            self._directory, self._platform, self._rng
-        )
-        self._contact = self._create_contact()
+        self._fleet = self._create_fleet()
         self._journal = journal.create_journal(
             settings.name, settings.journal_entries
         )
@@ -136,6 +116,7 @@
     async def run(self) -> None:
         """Serves until a signal asks for a graceful shutdown."""
         stop = asyncio.Event()
+        self._fleet.subscribe_replaced(stop.set)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
@@ -158,24 +139,22 @@
         )
         for listener, address in zip(self._listeners, addresses, strict=True):
             await listener.start(address.host, address.port)
-        self._membership.start()
-        self._spawn(self._contact.run())
-        self._spawn(self._watcher.run())
+        for work in self._fleet.start():
+            self._spawn(work)
         self._spawn(self._limiter.keeper.run())
+        collector.settle()
         _log.info("listening", call_address=str(settings.call_address))
 
     async def _stop(self) -> None:
         self.trigger("drain")
         self._serving.drain()
-        self._membership.set_state(members.DRAINING)
+        self._fleet.set_draining(True)
         await asyncio.sleep(_SPREAD_S)
         self._door.close()
         await self._finish_calls()
+        await self._send_will()
         await self._limiter.leave()
-        self._membership.leave()
-        await self._announcer.withdraw()
-        await asyncio.sleep(_LAST_WORD_S)
-        self._membership.stop()
+        await self._fleet.leave()
         for listener in self._listeners:
             await listener.stop()
         for task in self._tasks:
@@ -190,6 +169,14 @@
         while self._busy() and clock.now_s() < end_s:
             await asyncio.sleep(_POLL_S)
 
+    async def _send_will(self) -> None:
+        self._guard.close()
+        self._wills.send()
+        clock = self._timers.clock
+        end_s = clock.now_s() + _SPREAD_S
+        while self._transport.waiting and clock.now_s() < end_s:
+            await asyncio.sleep(_POLL_S)
+
     def _busy(self) -> bool:
         in_flight = self._entry.in_flight + self._receiver.in_flight
         in_flight += self._guard.in_flight + self._records.running
@@ -202,49 +189,30 @@
         if self.state == "starting":
             self.trigger("configured")
 
+    def _on_backend_server(self, state: str) -> None:
+        # While the daemon itself leaves, nothing brings it back.
+        if self.state != "draining":
+            self._fleet.set_draining(state == "draining")
+
     def _weight_of(self, client_account: str) -> float:
         current = self._configuration.in_force
         account = current and current.accounts.get(client_account)
         return account.weight if account else _OPEN_WEIGHT
 
-    def _on_backend_server(self, state: str) -> None:
-        # While the daemon itself leaves, nothing brings it back.
-        if self.state != "draining":
-            drained = state == "draining"
-            self._membership.set_state(
-                members.DRAINING if drained else members.SERVING
-            )
-
     def _spawn(self, work: collections.abc.Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
-    def _create_membership(self) -> membership.Membership:
-        spread = configspread.create_spread(
-            self._configuration, self._transport, self._timers
-        )
-        created = membership.create_membership(
-            membership.Parts(
-                self._directory,
-                self._transport,
-                self._timers,
-                self._rng,
-                spread,
-            )
-        )
-        self._configuration.subscribe(lambda _: created.tell_neighbours())
-        return created
-
-    def _create_contact(self) -> contact.Contact:
-        return contact.create_contact(
-            contact.Parts(
-                self._membership,
-                self._directory,
-                self._announcer,
-                joining.create_visitor(
-                    self._settings.fleet_secret, self._session
-                ),
-                self._settings.seeds,
-                self._rng,
+    def _create_fleet(self) -> fleet.Fleet:
+        return fleet.create_fleet(
+            fleet.Parts(
+                settings=self._settings,
+                directory=self._directory,
+                transport=self._transport,
+                timers=self._timers,
+                configuration=self._configuration,
+                store=self._platform,
+                session=self._session,
+                rng=random.Random(),
             )
         )
 
@@ -287,12 +255,15 @@
         router = routing.create_router(
             routing.Parts(
                 directory=self._directory,
-                tracker=tracker,
+                tracker=self._create_tracker(clock),
                 local=self._serving,
                 forwarder=forwarder,
             )
         )
         recovery = self._create_recovery(clock)
+        self._wills = wills.create_wills(
+            wills.Parts(self._transport, self._directory, self._issuer)
+        )
         self._guard = guard.create_guard(
             guard.Parts(
                 daemon=own.name,
@@ -312,9 +283,17 @@
                 router=router,
                 forwarder=forwarder,
                 recovery=recovery,
+                wills=self._wills,
             )
         )
 
+    def _create_tracker(self, clock: timers.Clock) -> choice.Tracker:
+        tracker = choice.create_tracker(
+            random.Random(), clock, self._weight_of, self._settings.experiment
+        )
+        self._directory.subscribe(tracker.on_change)
+        return tracker
+
     def _create_recovery(self, clock: timers.Clock) -> recovering.Recovery:
         inquirer = inquiries.create_inquirer(
             inquiries.Parts(self._transport, self._journal, self._records)
@@ -370,11 +349,7 @@
                 limiter=self._limiter,
                 status=self._status,
                 ready=lambda: self.state == "serving",
-                join=joining.create_door(
-                    self._settings.fleet_secret,
-                    self._timers.clock,
-                    self._contact.answer,
-                ).handle,
+                join=self._fleet.join,
             )
         )
         door = local.create_door(self._server, self._entry)
@@ -407,29 +382,6 @@
         )
 
 
-def _own_record(
-    settings: settings_module.Settings, public_key: str
-) -> members.Record:
-    return members.Record(
-        name=settings.name,
-        # Two starts of a daemon are never in the same millisecond, and a
-        # replaced VM has no disk to count them on.
-        incarnation=time.time_ns() // 1_000_000,
-        data_centre=settings.data_centre,
-        service=settings.service,
-        call_address=str(
-            settings.announced_call_address or settings.call_address
-        ),
-        peer_address=str(
-            settings.announced_peer_address or settings.peer_address
-        ),
-        admin_address=str(
-            settings.announced_admin_address or settings.admin_address
-        ),
-        public_key=public_key,
-    )
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Runs a daemon until a signal asks for a graceful shutdown."""
     async with (
--- a/src/savorybend/internal/handles.py
+++ b/src/savorybend/internal/handles.py
@@ -47,8 +47,8 @@
         self.handle = handle
         self._retries_left = call.retries
         self.effects = False
-        self.threshold = calls.NO_THRESHOLD
         self.failed_below = False
+        self.threshold = calls.NO_THRESHOLD
 
     @property
     def call(self) -> calls.Call:
@@ -60,23 +60,6 @@
         """How many child calls it has made."""
         return self._children
 
-    @property
-    def children_s(self) -> float:
-        """Seconds in which it waited for at least one child call."""
-        return self._children_s
-
-    def child_started(self, now_s: float) -> None:
-        """Notes that it waits for a child call."""
-        if not self._pending:
-            self._pending_since_s = now_s
-        self._pending += 1
-
-    def child_ended(self, now_s: float) -> None:
-        """Notes that a child call is over."""
-        self._pending -= 1
-        if not self._pending:
-            self._children_s += now_s - self._pending_since_s
-
     @property
     def retries_spent(self) -> int:
         """Retries that its children used, or still hold."""
@@ -96,6 +79,23 @@
         """Takes back what a child was lent and didn't use."""
         self._retries_left += max(0, lent - spent)
 
+    @property
+    def children_s(self) -> float:
+        """Seconds in which it waited for at least one child call."""
+        return self._children_s
+
+    def child_started(self, now_s: float) -> None:
+        """Notes that it waits for a child call."""
+        if not self._pending:
+            self._pending_since_s = now_s
+        self._pending += 1
+
+    def child_ended(self, now_s: float) -> None:
+        """Notes that a child call is over."""
+        self._pending -= 1
+        if not self._pending:
+            self._children_s += now_s - self._pending_since_s
+
     def next_child_id(self) -> str:
         """Returns the ID of its next child call."""
         self._children += 1
--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -57,25 +57,6 @@
     "Connections and messages of other daemons that were refused.",
     ("cause",),
 )
-_QUEUE_SECONDS = prometheus_client.Histogram(
-    "savorybend_queue_seconds",
-    "Time that calls waited beside the backend server on this VM.",
-    ("client_account", "priority"),
-    buckets=_LATENCY_BUCKETS_S,
-)
-_SHED = prometheus_client.Counter(
-    "savorybend_shed",
-    "Calls refused to relieve a backend server, by where that was decided.",
-    ("client_account", "priority", "reason", "place"),
-)
-CONCURRENCY_LIMIT = prometheus_client.Gauge(
-    "savorybend_concurrency_limit",
-    "Calls that the backend server on this VM may work on at once.",
-)
-THRESHOLD = prometheus_client.Gauge(
-    "savorybend_admission_threshold",
-    "This daemon's own admission threshold, from 0 (refuses nothing) to 10.",
-)
 PEER_CONNECTIONS = prometheus_client.Gauge(
     "savorybend_peer_connections",
     "Daemons with which this daemon has a connection open.",
@@ -96,6 +77,25 @@
     "savorybend_half_open_requests",
     "HTTP connections closed because a request's head was never finished.",
 )
+_QUEUE_SECONDS = prometheus_client.Histogram(
+    "savorybend_queue_seconds",
+    "Time that calls waited beside the backend server on this VM.",
+    ("client_account", "priority"),
+    buckets=_LATENCY_BUCKETS_S,
+)
+_SHED = prometheus_client.Counter(
+    "savorybend_shed",
+    "Calls refused to relieve a backend server, by where that was decided.",
+    ("client_account", "priority", "reason", "place"),
+)
+CONCURRENCY_LIMIT = prometheus_client.Gauge(
+    "savorybend_concurrency_limit",
+    "Calls that the backend server on this VM may work on at once.",
+)
+THRESHOLD = prometheus_client.Gauge(
+    "savorybend_admission_threshold",
+    "This daemon's own admission threshold, from 0 (refuses nothing) to 10.",
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "savorybend_configuration_version",
     "Version of the configuration in force.",
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -123,10 +123,13 @@
             return False
         if _ran_nothing(tries.last):
             elsewhere = tries.last.reason in _ELSEWHERE
-            return elsewhere and bool(self._choose(tries))
+            return elsewhere and self._has_another(tries)
         if not tries.failed_here():
             return False
-        return bool(self._choose(tries)) and self._ratio.take()
+        return self._has_another(tries) and self._ratio.take()
+
+    def _has_another(self, tries: "_Tries") -> bool:
+        return isinstance(self._choose(tries), members.Record)
 
     def _choose(self, tries: "_Tries"):
         found = self._choose_among(tries.call, tries.tried)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -180,7 +180,7 @@
         )
 
     async def control(self, request):
-        """Sets faults of the backend server, as the fields above name them.
+        """Sets faults: slow, fail, fail_above, report, announced, drain.
 
         `fail` may be a path prefix; with `fail_above` the failure of a child
         call fails its parent.
