Probe over a new connection before a neighbour is suspected

Cause: an idle connection that has gone silent swallows the probes of membership, since only messages of calls are watched for silence; in a fleet of two nobody else can reach the neighbour, so it was taken for dead after some five seconds and its calls were broken off. Ruled out: watching every message (an idle fleet would exchange receipts).

--- a/src/savorybend/internal/membership.py
+++ b/src/savorybend/internal/membership.py
@@ -27,6 +27,9 @@
     def send(self, peer: str, message: typing.Any) -> None:
         """Sends a message, or raises `PeerUnreachableError`."""
 
+    def renew(self, peer: str) -> None:
+        """Goes over to a new connection, in case the one in use is silent."""
+
     def subscribe(self, kind: type, handler: collections.abc.Callable) -> None:
         """Calls `handler(peer, message)` for each message of a kind."""
 
@@ -72,6 +75,7 @@
                 parts.timers,
                 parts.rng,
                 parts.transport.send,
+                parts.transport.renew,
                 self._create_probe,
             )
         )
--- a/src/savorybend/internal/peers.py
+++ b/src/savorybend/internal/peers.py
@@ -90,6 +90,21 @@
             self._connections.send(peer, codec.encode(message))
         metrics.SENT.inc()
 
+    def renew(self, peer: str) -> None:
+        """Goes over to a new connection, in case the one in use is silent.
+
+        Where messages of calls wait, their link sees to it.
+        """
+        link = self._link(peer)
+        if link is None or link.waiting:
+            return
+        try:
+            self._connections.reopen(peer)
+            # The peer goes over to the connection that it is asked on.
+            self._connections.send(peer, link.sync())
+        except errors.PeerUnreachableError as error:
+            _log.info("peer_unreachable", peer=peer, error=str(error))
+
     def close(self) -> None:
         """Closes every connection."""
         self._connections.close()
--- a/src/savorybend/internal/probing.py
+++ b/src/savorybend/internal/probing.py
@@ -35,6 +35,7 @@
         timers: Calls back when a reply is overdue.
         rng: Chooses helpers.
         send: Sends a message; may raise `PeerUnreachableError`.
+        renew: Goes over to a new connection to a daemon.
         create_probe: Returns the probe of a daemon with a sequence.
     """
 
@@ -43,6 +44,7 @@
     timers: timers.TimerService
     rng: random.Random
     send: Send
+    renew: collections.abc.Callable[[str], None]
     create_probe: collections.abc.Callable[[str, int], wire.Probe]
 
 
@@ -126,6 +128,11 @@
         if pending.helped:
             del self._pending[sequence]
             return
+        # An idle connection may have gone silent while the daemon lives, and
+        # a small fleet has nobody else who could reach it.
+        self._parts.renew(pending.target)
+        probe = self._parts.create_probe(pending.target, sequence)
+        self._try_send(pending.target, probe)
         for helper in self._helpers(pending.target):
             self._try_send(helper, wire.ProbeFor(sequence, pending.target))
         # A helper's own probe may take its whole timeout.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -136,6 +136,9 @@
             raise errors.PeerUnreachableError(peer)
         self._fleet.carry(self._name, peer, codec.encode(message))
 
+    def renew(self, peer):
+        """Does nothing: the fakes' ways don't go silent."""
+
     def subscribe(self, kind, handler):
         self._handlers[kind] = handler
 
--- a/tests/integration/test_silent_connections.py
+++ b/tests/integration/test_silent_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import time
 
 import aiohttp
 import pytest
@@ -21,6 +22,8 @@
 _PHOTO_BYTES = 32 * 1024 * 1024
 _PART_BYTES = 1024 * 1024
 _WORK_S = 0.3
+# Longer than it takes to find a dead daemon in a small fleet.
+_DEATH_S = 9.0
 
 _FAULTS = (
     proxy.Fault.SILENT,
@@ -154,3 +157,23 @@
     await pair.wait_listening("back-1")
     await pair.wait_ready()
     assert (await _call(pair, person)).outcome == "ran"
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [proxy.Fault.SILENT, proxy.Fault.SILENT_UP, proxy.Fault.SILENT_DOWN],
+)
+async def test_an_idle_silent_connection_ends_no_membership(
+    pair, person, fault
+):
+    # Probes swallowed by an idle connection made two daemons take one another
+    # for dead, which broke off the calls between them.
+    assert (await _call(pair, person)).outcome == "ran"
+    _silence(pair, fault)
+    end_s = time.monotonic() + _DEATH_S
+    while time.monotonic() < end_s:
+        for name in pair.workers:
+            known = {row["name"] for row in await pair.ask(name, "daemons")}
+            assert known == set(pair.workers)
+        await asyncio.sleep(0.2)
+    assert (await _call(pair, person)).outcome == "ran"
