--- a/tests/integration/test_overload.py
+++ b/tests/integration/test_overload.py
@@ -61,7 +61,7 @@
     off, refused
 ):
     async with _site(_DEEP, off) as site:
-        results = await _flood(site, "/front", 30)
+        results = await _flood(site, "/front", 150)
         ran = (await site.record("front-1"))["runs"]
     counts = collections.Counter(result.outcome for result in results)
     assert set(counts) <= {"ran", "partial", "not-run"}
