--- /dev/null
+++ b/src/savorybend/internal/callpath.py
@@ -0,0 +1,258 @@
+"""The path of calls through one daemon, put together from its parts."""
+
+import random
+import typing
+
+import aiohttp
+
+from savorybend.internal import backendserver
+from savorybend.internal import choice
+from savorybend.internal import concurrency
+from savorybend.internal import configstore
+from savorybend.internal import dispatching
+from savorybend.internal import entry
+from savorybend.internal import forwarding
+from savorybend.internal import guard
+from savorybend.internal import handles
+from savorybend.internal import inquiries
+from savorybend.internal import intake
+from savorybend.internal import issuing
+from savorybend.internal import journal
+from savorybend.internal import limits
+from savorybend.internal import local
+from savorybend.internal import members
+from savorybend.internal import peers
+from savorybend.internal import quarantine
+from savorybend.internal import receiving
+from savorybend.internal import records
+from savorybend.internal import recovering
+from savorybend.internal import requestpages
+from savorybend.internal import routing
+from savorybend.internal import serving
+from savorybend.internal import settings as settings_module
+from savorybend.internal import timers
+from savorybend.internal import wills
+
+# Callers without a key share one account that no configuration describes.
+_OPEN_WEIGHT = 1.0
+
+
+class Parts(typing.NamedTuple):
+    """What the path of calls needs of the rest of the daemon."""
+
+    settings: settings_module.Settings
+    directory: members.Directory
+    transport: peers.Transport
+    timers: timers.TimerService
+    configuration: configstore.Store
+    limiter: limits.Limiter
+    session: aiohttp.ClientSession
+
+
+class CallPath:
+    """Where calls enter, who starts them, and who runs them."""
+
+    def __init__(self, parts: Parts):
+        own = parts.directory.own
+        clock = parts.timers.clock
+        self._parts = parts
+        self._journal = journal.create_journal(
+            own.name, parts.settings.journal_entries
+        )
+        self._handles = handles.create_handles()
+        self._issuer = issuing.create_issuer(own.name, own.incarnation)
+        self._records = records.create_records(own.name, clock)
+        self._gate = concurrency.create_gate(
+            parts.timers, self._weight_of, parts.settings.experiment
+        )
+        self._server = backendserver.create_backend_server(self._gate)
+        self._serving = self._create_serving()
+        self._intake = self._create_intake()
+        self._wills = wills.create_wills(
+            wills.Parts(parts.transport, parts.directory, self._issuer)
+        )
+        self._dispatcher = self._create_dispatcher()
+        self._receiver = receiving.create_receiver(
+            parts.transport,
+            parts.timers,
+            dispatching.create_doorway(self._dispatcher, self._serving),
+        )
+        self._entry = self._create_entry()
+        self._door = local.create_door(self._server, self._entry)
+
+    @property
+    def calls_in(self) -> entry.Entry:
+        """Where callers' calls enter."""
+        return self._entry
+
+    @property
+    def door(self) -> local.Door:
+        """The door of this VM's backend server."""
+        return self._door
+
+    @property
+    def server(self) -> backendserver.BackendServer:
+        """This VM's backend server."""
+        return self._server
+
+    @property
+    def gate(self) -> concurrency.Gate:
+        """What calls pass on their way to the backend server."""
+        return self._gate
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that are not answered yet."""
+        return (
+            self._entry.in_flight
+            + self._receiver.in_flight
+            + self._guard.in_flight
+            + self._records.running
+            + self._gate.in_use
+        )
+
+    def drain(self) -> None:
+        """Takes no new work from now on."""
+        self._serving.drain()
+
+    def close(self) -> None:
+        """Starts no request any more, and says which were never started."""
+        self._guard.close()
+        self._wills.send()
+
+    def create_pages(self) -> requestpages.RequestPages:
+        """Returns the operators' pages about requests."""
+        return requestpages.create_pages(
+            requestpages.Parts(self._journal, self._issuer, self._records)
+        )
+
+    def _weight_of(self, client_account: str) -> float:
+        current = self._parts.configuration.in_force
+        account = current and current.accounts.get(client_account)
+        return account.weight if account else _OPEN_WEIGHT
+
+    def _create_serving(self) -> serving.Serving:
+        parts = self._parts
+        clock = parts.timers.clock
+        return serving.create_serving(
+            serving.Parts(
+                daemon=parts.settings.name,
+                clock=clock,
+                gate=self._gate,
+                backend_server=self._server,
+                handles=self._handles,
+                journal=self._journal,
+                records=self._records,
+                quarantine=quarantine.create_quarantine(
+                    quarantine.Parts(parts.transport, parts.directory, clock)
+                ),
+                session=parts.session,
+            )
+        )
+
+    def _create_intake(self) -> intake.Intake:
+        return intake.create_intake(
+            intake.Parts(
+                configuration=self._parts.configuration,
+                limiter=self._parts.limiter,
+                handles=self._handles,
+                issuer=self._issuer,
+                journal=self._journal,
+            )
+        )
+
+    def _create_dispatcher(self) -> dispatching.Dispatcher:
+        parts = self._parts
+        forwarder = forwarding.create_forwarder(parts.transport, parts.timers)
+        router = self._create_router(forwarder)
+        recovery = self._create_recovery()
+        self._guard = self._create_guard(router, recovery)
+        return dispatching.create_dispatcher(
+            dispatching.Parts(
+                directory=parts.directory,
+                issuer=self._issuer,
+                guard=self._guard,
+                router=router,
+                forwarder=forwarder,
+                recovery=recovery,
+                wills=self._wills,
+            )
+        )
+
+    def _create_router(self, forwarder: forwarding.Forwarder) -> routing.Router:
+        parts = self._parts
+        tracker = choice.create_tracker(
+            random.Random(),
+            parts.timers.clock,
+            self._weight_of,
+            parts.settings.experiment,
+        )
+        parts.directory.subscribe(tracker.on_change)
+        return routing.create_router(
+            routing.Parts(
+                directory=parts.directory,
+                tracker=tracker,
+                local=self._serving,
+                forwarder=forwarder,
+            )
+        )
+
+    def _create_recovery(self) -> recovering.Recovery:
+        parts = self._parts
+        inquirer = inquiries.create_inquirer(
+            inquiries.Parts(parts.transport, self._journal, self._records)
+        )
+        return recovering.create_recovery(
+            recovering.Parts(parts.timers.clock, parts.directory, inquirer)
+        )
+
+    def _create_guard(
+        self, router: routing.Router, recovery: recovering.Recovery
+    ) -> guard.Guard:
+        name = self._parts.settings.name
+        clock = self._parts.timers.clock
+        return guard.create_guard(
+            guard.Parts(
+                daemon=name,
+                issuer=self._issuer,
+                # Not those of the serving side: a request that this daemon
+                # issues and another runs has a record at each.
+                records=records.create_records(name, clock),
+                journal=self._journal,
+                recovery=recovery,
+                admit=self._intake.spend,
+                target=router,
+            )
+        )
+
+    def _create_entry(self) -> entry.Entry:
+        parts = self._parts
+        return entry.create_entry(
+            entry.Parts(
+                daemon=parts.settings.name,
+                clock=parts.timers.clock,
+                configuration=parts.configuration,
+                intake=self._intake,
+                target=self._dispatcher,
+                guard=self._guard,
+                handles=self._handles,
+                issuer=self._issuer,
+                journal=self._journal,
+                body_limit_bytes=parts.settings.body_limit_bytes,
+                entries=self._entries,
+            )
+        )
+
+    def _entries(self) -> dict[str, dict[str, list[str]]]:
+        found: dict[str, dict[str, list[str]]] = {}
+        for record in self._parts.directory.all():
+            if record.state == members.SERVING:
+                centres = found.setdefault(record.service, {})
+                addresses = centres.setdefault(record.data_centre, [])
+                addresses.append(record.call_address)
+        return found
+
+
+def create_call_path(parts: Parts) -> CallPath:
+    """Returns the path of calls through a daemon."""
+    return CallPath(parts)
