Use the field's terms for six modules and three messages

Cause: a newcomer reads wills, sights, patience, contact, stories, testimony and acquittal and has to learn what each stands for. Change: departures, peerload, servicetimes, bootstrap, reports, rollout; InquiryReply, Cleared, Departure. `config status` shows a dash for an age that nobody knows. Bytes exchanged between daemons are counted, for the capacity page.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -114,7 +114,7 @@
         await asyncio.sleep(_SPREAD_S)
         self._door.close()
         await self._finish_calls()
-        await self._send_will()
+        await self._announce_departure()
         await self._limiter.leave()
         await self._fleet.leave()
         for listener in self._listeners:
@@ -136,7 +136,7 @@
             lambda: self._transport.waiting,
         )
 
-    async def _send_will(self) -> None:
+    async def _announce_departure(self) -> None:
         self._calls.close()
         await self._wait(_SPREAD_S, lambda: self._transport.waiting)
 
--- a/src/savorybend/internal/contact.py
+++ b/src/savorybend/internal/bootstrap.py
@@ -39,7 +39,7 @@
     rng: random.Random
 
 
-class Contact:
+class Bootstrap:
     """Joins at the start, and tries daemons that were lost ever after."""
 
     def __init__(self, parts: Parts):
@@ -152,6 +152,6 @@
     return known.state != rosters.ALIVE or known.record.age_key > shown.age_key
 
 
-def create_contact(parts: Parts) -> Contact:
+def create_bootstrap(parts: Parts) -> Bootstrap:
     """Returns what keeps a daemon in touch with the fleet."""
-    return Contact(parts)
+    return Bootstrap(parts)
--- a/src/savorybend/internal/callpath.py
+++ b/src/savorybend/internal/callpath.py
@@ -9,6 +9,7 @@
 from savorybend.internal import choice
 from savorybend.internal import concurrency
 from savorybend.internal import configstore
+from savorybend.internal import departures
 from savorybend.internal import dispatching
 from savorybend.internal import entry
 from savorybend.internal import forwarding
@@ -31,7 +32,6 @@
 from savorybend.internal import serving
 from savorybend.internal import settings as settings_module
 from savorybend.internal import timers
-from savorybend.internal import wills
 
 # Callers without a key share one account that no configuration describes.
 _OPEN_WEIGHT = 1.0
@@ -68,8 +68,8 @@
         self._server = backendserver.create_backend_server(self._gate)
         self._serving = self._create_serving()
         self._intake = self._create_intake()
-        self._wills = wills.create_wills(
-            wills.Parts(parts.transport, parts.directory, self._issuer)
+        self._departures = departures.create_departures(
+            departures.Parts(parts.transport, parts.directory, self._issuer)
         )
         self._dispatcher = self._create_dispatcher()
         self._receiver = receiving.create_receiver(
@@ -118,7 +118,7 @@
     def close(self) -> None:
         """Starts no request any more, and says which were never started."""
         self._guard.close()
-        self._wills.send()
+        self._departures.send()
 
     def create_pages(self) -> requestpages.RequestPages:
         """Returns the operators' pages about requests."""
@@ -175,7 +175,7 @@
                 router=router,
                 forwarder=forwarder,
                 recovery=recovery,
-                wills=self._wills,
+                departures=self._departures,
             )
         )
 
--- a/src/savorybend/internal/choice.py
+++ b/src/savorybend/internal/choice.py
@@ -10,9 +10,9 @@
 from savorybend.internal import members
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
+from savorybend.internal import peerload
 from savorybend.internal import sentinels
 from savorybend.internal import shares
-from savorybend.internal import sights
 from savorybend.internal import timers
 
 NO_CANDIDATE = sentinels.create(
@@ -74,12 +74,12 @@
         self._weight_of = weight_of
         self._switches = switches
         self._created_s = clock.now_s()
-        self._sights: dict[str, sights.Sight] = {}
+        self._loads: dict[str, peerload.PeerLoad] = {}
         self._places: dict[tuple[str, int], shares.Places] = {}
 
     def started(self, daemon: str, route: str) -> Given:
         """Notes that a call was given to a daemon."""
-        self._sight(daemon).in_flight += 1
+        self._load(daemon).in_flight += 1
         return Given(daemon, route, self._clock.now_s())
 
     def ended(self, given: Given, answer: calls.Answer | None) -> None:
@@ -89,32 +89,32 @@
             given: What `started` returned.
             answer: Its answer, or None if the call was cancelled.
         """
-        sight = self._sight(given.daemon)
-        sight.in_flight = max(0, sight.in_flight - 1)
+        load = self._load(given.daemon)
+        load.in_flight = max(0, load.in_flight - 1)
         if answer is None:
             return
         now_s = self._clock.now_s()
-        sight.hear(answer, given.route, now_s)
-        sight.judge(answer, now_s - given.at_s, now_s)
+        load.hear(answer, given.route, now_s)
+        load.judge(answer, now_s - given.at_s, now_s)
 
     def on_change(self, change: members.Change) -> None:
         """Drops what was seen of a daemon that is gone."""
         match change:
             case members.Gone(record=record):
-                self._sights.pop(record.name, None)
+                self._loads.pop(record.name, None)
             case _:
                 pass
 
     def in_flight(self, daemon: str) -> int:
         """Returns the calls in flight to a daemon from here."""
-        sight = self._sights.get(daemon)
-        return 0 if sight is None else sight.in_flight
+        load = self._loads.get(daemon)
+        return 0 if load is None else load.in_flight
 
     def threshold(self, daemon: str, route: str) -> float:
         """Returns the threshold that a daemon is taken to have now."""
         if not self._switches.thresholds:
             return calls.NO_THRESHOLD
-        return self._sight(daemon).threshold(route, self._clock.now_s())
+        return self._load(daemon).threshold(route, self._clock.now_s())
 
     def choose(self, question: Question) -> Choice:
         """Returns the daemon to give a call to.
@@ -152,7 +152,7 @@
         part = admission.part_admitted(call.priority, lowest)
         if places.admits(call.client_account, part):
             return None
-        if self._sight(least).probes(call.route, now_s):
+        if self._load(least).probes(call.route, now_s):
             return None
         metrics.shed(
             call.client_account,
@@ -197,20 +197,22 @@
         return own if self._cost(own.name) <= least else best
 
     def _cost(self, daemon: str) -> float:
-        sight = self._sight(daemon)
+        load = self._load(daemon)
         if not self._switches.choice:
-            return sight.in_flight
-        return sight.cost_s(self._clock.now_s())
+            return load.in_flight
+        return load.cost_s(self._clock.now_s())
 
     def _suspect(self, daemon: str) -> bool:
-        return self._sight(daemon).suspect(self._clock.now_s())
-
-    def _sight(self, daemon: str) -> sights.Sight:
-        sight = self._sights.get(daemon)
-        if sight is None:
-            sight = sights.create_sight(self._clock.now_s(), self._created_s)
-            self._sights[daemon] = sight
-        return sight
+        return self._load(daemon).suspect(self._clock.now_s())
+
+    def _load(self, daemon: str) -> peerload.PeerLoad:
+        load = self._loads.get(daemon)
+        if load is None:
+            load = peerload.create_peer_load(
+                self._clock.now_s(), self._created_s
+            )
+            self._loads[daemon] = load
+        return load
 
     def _places_of(self, call: calls.Call) -> shares.Places:
         key = (call.route, call.priority)
--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -12,7 +12,7 @@
 from savorybend.internal import fairqueue
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
-from savorybend.internal import patience
+from savorybend.internal import servicetimes
 from savorybend.internal import timers
 
 _DEFAULT_SLOTS = 16
@@ -72,7 +72,7 @@
         self._limit = adaptive.create_adaptive_limit(_DEFAULT_SLOTS)
         self._queue = fairqueue.create_fair_queue(weight_of, switches)
         self._controller = admission.create_controller(self._clock)
-        self._patience = patience.create_patience(self._clock)
+        self._service_times = servicetimes.create_service_times(self._clock)
         self._rng = random.Random()
         self._in_use = 0
         self._empty_s = self._clock.now_s()
@@ -135,7 +135,7 @@
         own_s = max(0.0, report.latency_s - report.children_s)
         self._limit.observe(own_s, self._in_use, report.failed)
         if not report.failed:
-            self._patience.observe(ticket.route, report.latency_s)
+            self._service_times.observe(ticket.route, report.latency_s)
         self._in_use -= 1
         self._let_in()
 
@@ -154,10 +154,10 @@
     def _in_vain(self, call: calls.Call) -> bool:
         if not self._switches.deadline:
             return False
-        mean_s = self._patience.mean_s(call.route)
+        mean_s = self._service_times.mean_s(call.route)
         wait_s = self._queue.ahead_of(call.priority) * mean_s / self.limit
         left_s = call.deadline_s - self._clock.now_s()
-        return self._patience.too_late(call.route, left_s - wait_s)
+        return self._service_times.too_late(call.route, left_s - wait_s)
 
     def _join(self, call: calls.Call) -> outcomes.Refuse | fairqueue.Waiter:
         now_s = self._clock.now_s()
@@ -234,7 +234,7 @@
         now_s = self._clock.now_s()
         standing = self._newest_first()
         for waiter in self._queue.waiters:
-            mean_s = self._patience.mean_s(waiter.token[1].route)
+            mean_s = self._service_times.mean_s(waiter.token[1].route)
             left_s = waiter.deadline_s - now_s - _SWEEP_S
             waited_s = now_s - waiter.arrived_s
             if left_s <= 0 or self._hopeless(left_s, mean_s):
--- a/src/savorybend/internal/connections.py
+++ b/src/savorybend/internal/connections.py
@@ -202,6 +202,7 @@
 
     def _send_inward(self, route: Way, data: bytes) -> None:
         self._router.send_multipart((route, data), zmq.NOBLOCK)
+        metrics.SENT_BYTES.inc(len(data))
         self._reschedule(self._router, self._drain_router)
 
     def _send_outward(self, peer: str, socket: zmq.Socket, data: bytes) -> None:
@@ -211,6 +212,7 @@
             raise errors.PeerUnreachableError(
                 f"daemon {peer!r} takes no more ({error}): choose another"
             ) from error
+        metrics.SENT_BYTES.inc(len(data))
         self._reschedule(socket, self._drain_dealer, peer, socket)
 
     def _reschedule(self, socket: zmq.Socket, drain, *args) -> None:
--- a/src/savorybend/internal/ctl/commands.py
+++ b/src/savorybend/internal/ctl/commands.py
@@ -15,8 +15,8 @@
 from savorybend.internal.ctl import configuration
 from savorybend.internal.ctl import exits
 from savorybend.internal.ctl import fleet
-from savorybend.internal.ctl import force
 from savorybend.internal.ctl import requests
+from savorybend.internal.ctl import rollout
 from savorybend.internal.ctl import tables
 
 _PLATFORM = "SAVORYBEND_PLATFORM_URL"
@@ -195,13 +195,13 @@
     source = fleet.Fleet(session, str(address), admin_key)
     match (options.topic, getattr(options, "action", "")):
         case ("config", "wait"):
-            code, text = await force.wait(
+            code, text = await rollout.wait(
                 source, options.version, options.seconds
             )
             print(text)
             return code
         case ("config", _):
-            text = await force.show(source, options.json)
+            text = await rollout.show(source, options.json)
         case ("request", "show"):
             text = await requests.show(source, options.request_id, options.json)
         case ("request", "list"):
--- a/src/savorybend/internal/ctl/requests.py
+++ b/src/savorybend/internal/ctl/requests.py
@@ -6,7 +6,7 @@
 
 from savorybend.internal import errors
 from savorybend.internal.ctl import fleet
-from savorybend.internal.ctl import stories
+from savorybend.internal.ctl import reports
 from savorybend.internal.ctl import tables
 
 _AGO = re.compile(r"(\d+)([smhd])")
@@ -36,7 +36,7 @@
 async def show(source: fleet.Fleet, request_id: str, as_json: bool) -> str:
     """Returns what the daemons know of a request, and what follows."""
     heard = await _hear(source, request_id)
-    verdict = stories.describe(stories.tell(request_id, heard))
+    verdict = reports.describe(reports.tell(request_id, heard))
     if as_json:
         row = {
             "verdict": verdict,
@@ -47,7 +47,7 @@
     return _story(request_id, verdict, heard)
 
 
-async def _hear(source: fleet.Fleet, request_id: str) -> stories.Heard:
+async def _hear(source: fleet.Fleet, request_id: str) -> reports.Heard:
     records = await source.ask("daemons")
     incarnations = {row["name"]: row["incarnation"] for row in records}
     knowledge: dict[str, dict] = {}
@@ -57,7 +57,7 @@
             silent.append(daemon)
         elif found is not None:
             knowledge[daemon] = found
-    return stories.Heard(knowledge, silent, incarnations)
+    return reports.Heard(knowledge, silent, incarnations)
 
 
 async def list_all(
@@ -90,12 +90,12 @@
     unique: dict[str, dict] = {}
     for row in rows:
         first = unique.setdefault(row["request_id"], row)
-        if stories.weight(row["outcome"]) < stories.weight(first["outcome"]):
+        if reports.weight(row["outcome"]) < reports.weight(first["outcome"]):
             unique[row["request_id"]] = row
     return list(unique.values())
 
 
-def _story(request_id: str, verdict: str, heard: stories.Heard) -> str:
+def _story(request_id: str, verdict: str, heard: reports.Heard) -> str:
     lines = [f"request   {request_id}"]
     named = next((e for e in heard.entries if e["client_account"]), None)
     if named:
--- a/src/savorybend/internal/ctl/force.py
+++ b/src/savorybend/internal/ctl/rollout.py
@@ -19,13 +19,14 @@
         daemon: Its name.
         state: Its state, or `not reached`.
         version: The version in force; 0 for none.
-        age_s: Seconds since that was last confirmed as the newest.
+        age_s: Seconds since that was last confirmed as the newest, or None
+            where nobody in touch with the platform was heard.
     """
 
     daemon: str
     state: str
     version: int
-    age_s: float
+    age_s: float | None
 
 
 async def standings(source: fleet.Fleet) -> list[Standing]:
@@ -33,7 +34,7 @@
     found = []
     for daemon, status in await source.ask_all("status"):
         if isinstance(status, errors.PeerUnreachableError):
-            found.append(Standing(daemon, "not reached", 0, 0.0))
+            found.append(Standing(daemon, "not reached", 0, None))
         else:
             found.append(
                 Standing(
--- a/src/savorybend/internal/ctl/tables.py
+++ b/src/savorybend/internal/ctl/tables.py
@@ -36,6 +36,8 @@
     match value:
         case float():
             return f"{value:.3f}".rstrip("0").rstrip(".")
+        case None:
+            return "-"
         case list() | tuple():
             return ",".join(str(part) for part in value)
         case _:
--- a/src/savorybend/internal/wills.py
+++ b/src/savorybend/internal/departures.py
@@ -16,7 +16,7 @@
 from savorybend.internal.wire import requests as wire
 
 # A fleet of 1,000 replaces 73 daemons a day.
-_MOST_WILLS = 100
+_MOST_DEPARTURES = 100
 # The newest count, since callers take IDs shortly before they use them.
 _MOST_IDS = 2000
 
@@ -26,57 +26,57 @@
 
 
 class Parts(typing.NamedTuple):
-    """What wills are made of."""
+    """What departures are made of."""
 
     transport: peers.Transport
     directory: members.Directory
     issuer: issuing.Issuer
 
 
-class Wills:
-    """Keeps the wills of others, and sends this daemon's own."""
+class Departures:
+    """Keeps the departures of others, and sends this daemon's own."""
 
     def __init__(self, parts: Parts):
         self._parts = parts
-        self._kept: collections.OrderedDict[_Key, wire.Will] = (
+        self._kept: collections.OrderedDict[_Key, wire.Departure] = (
             collections.OrderedDict()
         )
-        parts.transport.subscribe(wire.Will, self._on_will)
+        parts.transport.subscribe(wire.Departure, self._on_departure)
 
     def send(self) -> None:
-        """Sends this daemon's will; its guard must be closed before."""
+        """Sends this daemon's own; its guard must be closed before."""
         own = self._parts.directory.own
         unused = self._parts.issuer.unused(_MOST_IDS)
-        message = wire.Will(own.incarnation, unused)
+        message = wire.Departure(own.incarnation, unused)
         for record in self._parts.directory.all():
             if record.name == own.name:
                 continue
             try:
                 self._parts.transport.send(record.name, message)
             except errors.PeerUnreachableError as error:
-                _log.warning("will_not_sent", error=str(error))
+                _log.warning("departure_not_sent", error=str(error))
 
     def proves_unused(
         self, request_id: requestids.RequestId, client_account: str
     ) -> bool:
         """Returns whether an ID of the account was never started."""
-        will = self._kept.get((request_id.issuer, request_id.incarnation))
-        if will is None:
+        departure = self._kept.get((request_id.issuer, request_id.incarnation))
+        if departure is None:
             return False
         return any(
             unused.client_account == client_account
             and request_id.sequence in unused.sequences
-            for unused in will.unused
+            for unused in departure.unused
         )
 
-    def _on_will(self, peer: str, message: wire.Will) -> None:
+    def _on_departure(self, peer: str, message: wire.Departure) -> None:
         key = (peer, message.incarnation)
         self._kept[key] = message
         self._kept.move_to_end(key)
-        if len(self._kept) > _MOST_WILLS:
+        if len(self._kept) > _MOST_DEPARTURES:
             self._kept.popitem(last=False)
 
 
-def create_wills(parts: Parts) -> Wills:
-    """Returns wills that nobody has sent yet."""
-    return Wills(parts)
+def create_departures(parts: Parts) -> Departures:
+    """Returns departures that nobody has sent yet."""
+    return Departures(parts)
--- a/src/savorybend/internal/dispatching.py
+++ b/src/savorybend/internal/dispatching.py
@@ -4,6 +4,7 @@
 
 from savorybend.internal import bodies
 from savorybend.internal import calls
+from savorybend.internal import departures
 from savorybend.internal import forwarding
 from savorybend.internal import guard
 from savorybend.internal import issuing
@@ -11,7 +12,6 @@
 from savorybend.internal import outcomes
 from savorybend.internal import recovering
 from savorybend.internal import requestids
-from savorybend.internal import wills
 
 
 class Parts(typing.NamedTuple):
@@ -24,7 +24,7 @@
         router: Runs calls that need no guard.
         forwarder: Passes calls to the issuers of their IDs.
         recovery: Fetches the answers of requests whose issuer is gone.
-        wills: What issuers that left in good order said of their IDs.
+        departures: What issuers that left in good order said of their IDs.
     """
 
     directory: members.Directory
@@ -33,7 +33,7 @@
     router: calls.Target
     forwarder: forwarding.Forwarder
     recovery: recovering.Recovery
-    wills: wills.Wills
+    departures: departures.Departures
 
 
 class Dispatcher:
@@ -61,7 +61,7 @@
         record = self._parts.directory.get(parsed.issuer)
         if record and record.incarnation == parsed.incarnation:
             return await self._pass_on(record.name, call, body)
-        if self._parts.wills.proves_unused(parsed, call.client_account):
+        if self._parts.departures.proves_unused(parsed, call.client_account):
             refusal = outcomes.refuse(outcomes.NEVER_SEEN)
             return calls.not_run(refusal, call.request_id, self.name)
         return await self._settle(call, body, outcomes.ISSUER_LOST)
--- a/src/savorybend/internal/fleet.py
+++ b/src/savorybend/internal/fleet.py
@@ -9,10 +9,10 @@
 import aiohttp
 
 from savorybend.internal import announcing
+from savorybend.internal import bootstrap
 from savorybend.internal import configspread
 from savorybend.internal import configstore
 from savorybend.internal import configwatch
-from savorybend.internal import contact
 from savorybend.internal import httpserver
 from savorybend.internal import joining
 from savorybend.internal import members
@@ -48,8 +48,8 @@
         self._announcer = announcing.create_announcer(
             parts.directory, parts.store, parts.rng
         )
-        self._contact = contact.create_contact(
-            contact.Parts(
+        self._bootstrap = bootstrap.create_bootstrap(
+            bootstrap.Parts(
                 self._membership,
                 parts.directory,
                 self._announcer,
@@ -61,7 +61,7 @@
             )
         )
         self._door = joining.create_door(
-            parts.settings.fleet_secret, clock, self._contact.answer
+            parts.settings.fleet_secret, clock, self._bootstrap.answer
         )
         self._watcher = configwatch.create_watcher(
             configwatch.Parts(
@@ -87,7 +87,7 @@
     def start(self) -> list[collections.abc.Coroutine]:
         """Begins to probe; returns the work to run until the end."""
         self._membership.start()
-        return [self._contact.run(), self._watcher.run()]
+        return [self._bootstrap.run(), self._watcher.run()]
 
     def set_draining(self, draining: bool) -> None:
         """Tells the fleet whether this daemon takes new work."""
--- a/src/savorybend/internal/inquiries.py
+++ b/src/savorybend/internal/inquiries.py
@@ -19,7 +19,7 @@
     def __init__(self, end: asyncio.Future, asked: set[str]):
         self.end = end
         self.asked = asked
-        self.heard: list[wire.Testimony] = []
+        self.heard: list[wire.InquiryReply] = []
 
 
 class Parts(typing.NamedTuple):
@@ -44,14 +44,14 @@
         self._sequence = itertools.count(1)
         self._rounds: dict[int, _Round] = {}
         parts.transport.subscribe(wire.Inquiry, self._on_inquiry)
-        parts.transport.subscribe(wire.Testimony, self._on_testimony)
+        parts.transport.subscribe(wire.InquiryReply, self._on_reply)
 
     async def ask(
         self,
         request_id: str,
         daemons: collections.abc.Iterable[str],
         timeout_s: float,
-    ) -> list[wire.Testimony]:
+    ) -> list[wire.InquiryReply]:
         """Returns what daemons say that answer in time.
 
         Those that never saw the request refuse it from now on.
@@ -63,7 +63,7 @@
         end = asyncio.get_running_loop().create_future()
         current = _Round(end, asked - {own})
         if own in asked:
-            current.heard.append(self._testify(message))
+            current.heard.append(self._reply_to(message))
         self._rounds[sequence] = current
         try:
             self._send(message, current)
@@ -85,14 +85,14 @@
                 current.asked.discard(daemon)
 
     def _on_inquiry(self, peer: str, message: wire.Inquiry) -> None:
-        testimony = self._testify(message)
+        reply = self._reply_to(message)
         try:
-            self._parts.transport.send(peer, testimony)
+            self._parts.transport.send(peer, reply)
         except errors.PeerUnreachableError:
             # It gets no word, which it must take for "may have run".
             return
 
-    def _on_testimony(self, peer: str, message: wire.Testimony) -> None:
+    def _on_reply(self, peer: str, message: wire.InquiryReply) -> None:
         current = self._rounds.get(message.sequence)
         if current is None or peer not in current.asked:
             return
@@ -101,19 +101,19 @@
         if not current.asked and not current.end.done():
             current.end.set_result(None)
 
-    def _testify(self, message: wire.Inquiry) -> wire.Testimony:
+    def _reply_to(self, message: wire.Inquiry) -> wire.InquiryReply:
         entry = self._parts.journal.show(message.request_id) or None
         record = self._parts.records.find(message.request_id)
         if not record:
             if message.forbid:
                 self._parts.records.forbid(message.request_id)
-            return wire.Testimony(message.sequence, entry)
+            return wire.InquiryReply(message.sequence, entry)
         running = record.state == "running"
         if running or record.answer is None:
-            return wire.Testimony(message.sequence, entry, running)
+            return wire.InquiryReply(message.sequence, entry, running)
         answer = self._parts.records.answer_of(message.request_id, record)
         kept = _keep(record, answer)
-        return wire.Testimony(message.sequence, entry, False, kept)
+        return wire.InquiryReply(message.sequence, entry, False, kept)
 
 
 def _keep(record: records.Record, answer: calls.Answer) -> wire.KeptAnswer:
--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -127,8 +127,16 @@
     "Messages about limits that no connection took.",
 )
 
+_PEER_BYTES = prometheus_client.Counter(
+    "savorybend_peer_bytes",
+    "Bytes of messages exchanged with other daemons, before encryption.",
+    ("direction",),
+)
+
 SENT = _PEER_MESSAGES.labels("sent")
 RECEIVED = _PEER_MESSAGES.labels("received")
+SENT_BYTES = _PEER_BYTES.labels("sent")
+RECEIVED_BYTES = _PEER_BYTES.labels("received")
 
 
 @functools.cache
--- a/src/savorybend/internal/sights.py
+++ b/src/savorybend/internal/peerload.py
@@ -51,7 +51,7 @@
         return max(calls.NO_THRESHOLD, self.threshold - age_s * _FADING_PER_S)
 
 
-class Sight:
+class PeerLoad:
     """What is seen of one daemon from here."""
 
     __slots__ = (
@@ -141,8 +141,8 @@
         self._suspect_until_s = now_s + min(_LONGEST_SUSPICION_S, pause_s)
 
 
-def create_sight(now_s: float, watching_since_s: float) -> Sight:
-    """Returns the sight of a daemon met for the first time.
+def create_peer_load(now_s: float, watching_since_s: float) -> PeerLoad:
+    """Returns the load of a daemon met for the first time.
 
     Args:
         now_s: The time.
@@ -150,5 +150,5 @@
             after that isn't new; it is itself.
     """
     if now_s - watching_since_s < _SLOW_START_S:
-        return Sight(now_s - _SLOW_START_S)
-    return Sight(now_s)
+        return PeerLoad(now_s - _SLOW_START_S)
+    return PeerLoad(now_s)
--- a/src/savorybend/internal/peers.py
+++ b/src/savorybend/internal/peers.py
@@ -112,6 +112,7 @@
     def receive(self, peer: str, data: bytes, way: connections.Way) -> None:
         """Takes a message that arrived over a connection."""
         metrics.RECEIVED.inc()
+        metrics.RECEIVED_BYTES.inc(len(data))
         try:
             message = codec.decode(data)
         except errors.InvalidMessageError as error:
--- a/src/savorybend/internal/quarantine.py
+++ b/src/savorybend/internal/quarantine.py
@@ -57,7 +57,7 @@
             collections.OrderedDict()
         )
         parts.transport.subscribe(wire.Death, self._on_death)
-        parts.transport.subscribe(wire.Acquittal, self._on_acquittal)
+        parts.transport.subscribe(wire.Cleared, self._on_cleared)
 
     def blocks(self, call: calls.Call, body: bodies.Body) -> bool:
         """Returns whether a request is quarantined."""
@@ -85,8 +85,8 @@
         """Notes that a backend server lived through a request."""
         if self._find(call, body) is None:
             return
-        message = wire.Acquittal(fingerprints.of_content(call, body))
-        self._on_acquittal("", message)
+        message = wire.Cleared(fingerprints.of_content(call, body))
+        self._on_cleared("", message)
         self._spread(message)
 
     def _find(self, call: calls.Call, body: bodies.Body) -> _Suspect | None:
@@ -95,7 +95,7 @@
             return None
         return self._suspects.get(fingerprints.of_content(call, body))
 
-    def _spread(self, message: wire.Death | wire.Acquittal) -> None:
+    def _spread(self, message: wire.Death | wire.Cleared) -> None:
         own = self._parts.directory.own
         for record in self._parts.directory.all():
             if record.service != own.service or record.name == own.name:
@@ -117,7 +117,7 @@
         if len(self._suspects) > _MOST_SUSPECTS:
             self._suspects.popitem(last=False)
 
-    def _on_acquittal(self, peer: str, message: wire.Acquittal) -> None:
+    def _on_cleared(self, peer: str, message: wire.Cleared) -> None:
         self._suspects.pop(message.fingerprint, None)
 
 
--- a/src/savorybend/internal/recovering.py
+++ b/src/savorybend/internal/recovering.py
@@ -47,20 +47,20 @@
         fingerprint = fingerprints.of_request(call, body)
         while (left_s := self._left_s(call)) > 0:
             heard = await self._ask(call, left_s)
-            for testimony in heard:
-                kept = testimony.answer
+            for reply in heard:
+                kept = reply.answer
                 if kept is None or kept.fingerprint != fingerprint:
                     continue
                 if outcomes.Outcome(kept.outcome) in _DECIDED:
                     return _replay(kept)
-            if not any(testimony.running for testimony in heard):
+            if not any(reply.running for reply in heard):
                 break
             await asyncio.sleep(_POLL_S)
         return otherwise
 
     async def _ask(
         self, call: calls.Call, left_s: float
-    ) -> list[wire.Testimony]:
+    ) -> list[wire.InquiryReply]:
         daemons = [
             record.name
             for record in self._parts.directory.all()
--- a/src/savorybend/internal/patience.py
+++ b/src/savorybend/internal/servicetimes.py
@@ -19,7 +19,7 @@
     renewed_s: float
 
 
-class Patience:
+class ServiceTimes:
     """Mean times by route, children included."""
 
     def __init__(self, clock: timers.Clock):
@@ -55,6 +55,6 @@
         return left_s <= 0
 
 
-def create_patience(clock: timers.Clock) -> Patience:
+def create_service_times(clock: timers.Clock) -> ServiceTimes:
     """Returns estimates that know of no route yet."""
-    return Patience(clock)
+    return ServiceTimes(clock)
--- a/src/savorybend/internal/wire/requests.py
+++ b/src/savorybend/internal/wire/requests.py
@@ -38,8 +38,8 @@
     data: bytes
 
 
-class Testimony(
-    msgspec.Struct, frozen=True, array_like=True, tag="requests.testimony"
+class InquiryReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="requests.reply"
 ):
     """Says what a daemon knows of a request.
 
@@ -68,8 +68,8 @@
     sequence: int
 
 
-class Acquittal(
-    msgspec.Struct, frozen=True, array_like=True, tag="requests.acquittal"
+class Cleared(
+    msgspec.Struct, frozen=True, array_like=True, tag="requests.cleared"
 ):
     """A backend server answered a request that another one died under."""
 
@@ -83,7 +83,9 @@
     sequences: list[int]
 
 
-class Will(msgspec.Struct, frozen=True, array_like=True, tag="requests.will"):
+class Departure(
+    msgspec.Struct, frozen=True, array_like=True, tag="requests.departure"
+):
     """Says which of its IDs a daemon never started, and now never will.
 
     Attributes:
@@ -95,4 +97,4 @@
     unused: list[Unused]
 
 
-Message = Inquiry | Testimony | Death | Acquittal | Will
+Message = Inquiry | InquiryReply | Death | Cleared | Departure
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,10 +2,9 @@
 
 import random
 
-from savorybend.internal import calls
+from savorybend.internal import bootstrap
 from savorybend.internal import configspread
 from savorybend.internal import configstore
-from savorybend.internal import contact
 from savorybend.internal import errors
 from savorybend.internal import members
 from savorybend.internal import membership
@@ -69,7 +68,7 @@
                 if known and known.state == "dead"
                 else [],
             )
-            reply = host.contact.answer(request)
+            reply = host.bootstrap.answer(request)
             joiner.membership.take(reply.updates)
             if joiner.directory.own == own:
                 break
@@ -121,8 +120,10 @@
                 self.directory, self, self.timers, rng, self.spread
             )
         )
-        self.contact = contact.create_contact(
-            contact.Parts(self.membership, self.directory, None, None, (), rng)
+        self.bootstrap = bootstrap.create_bootstrap(
+            bootstrap.Parts(
+                self.membership, self.directory, None, None, (), rng
+            )
         )
         self.store.subscribe(lambda _: self.membership.tell_neighbours())
         self.membership.start()
@@ -182,22 +183,3 @@
     for member in fleet.members.values():
         member.membership.take(updates)
     return fleet
-
-
-def create_call(**fields) -> calls.Call:
-    """Returns a call; fields that aren't given are plain."""
-    plain = calls.Call(
-        request_id="east-1.1.1",
-        client_account="maruyama",
-        route="back",
-        service="back",
-        priority=5,
-        idempotent=True,
-        method="GET",
-        target="/back",
-        headers=[],
-        deadline_s=2000.0,
-        retries=3,
-        depth=0,
-    )
-    return plain._replace(**fields)
--- a/tests/requests.py
+++ b/tests/requests.py
@@ -21,3 +21,16 @@
 def create_call(**fields) -> calls.Call:
     """Returns a non-idempotent call, but for the fields given."""
     return _USUAL._replace(**fields)
+
+
+def create_lookup(**fields) -> calls.Call:
+    """Returns an idempotent call, but for the fields given."""
+    plain = _USUAL._replace(
+        route="back",
+        priority=5,
+        idempotent=True,
+        method="GET",
+        target="/back",
+        retries=3,
+    )
+    return plain._replace(**fields)
--- a/tests/unit/test_choice.py
+++ b/tests/unit/test_choice.py
@@ -9,6 +9,7 @@
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from tests import fakes
+from tests import requests
 
 _SEED = 1
 
@@ -33,7 +34,10 @@
     def choose(self, **fields):
         return self.tracker.choose(
             choice.Question(
-                _OWN, self.records, frozenset(), fakes.create_call(**fields)
+                _OWN,
+                self.records,
+                frozenset(),
+                requests.create_lookup(**fields),
             )
         )
 
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -13,6 +13,7 @@
 from savorybend.internal import shares
 from savorybend.internal import timers
 from tests import fakes
+from tests import requests
 
 _SLOTS = 4
 
@@ -34,7 +35,7 @@
 
     async def send(self, account="a", priority=5, left_s=60.0, depth=0):
         """Sends a call; returns a refusal that came at once, or None."""
-        call = fakes.create_call(
+        call = requests.create_lookup(
             client_account=account,
             priority=priority,
             depth=depth,
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -93,7 +93,7 @@
     seen = []
     old.membership.roster.subscribe_replaced(lambda: seen.append(True))
     request = wire.JoinRequest(old.directory.own, False, [])
-    old.membership.take(fleet.members["m1"].contact.answer(request).updates)
+    old.membership.take(fleet.members["m1"].bootstrap.answer(request).updates)
     assert seen
 
 
@@ -124,7 +124,7 @@
     others = [m for n, m in fleet.members.items() if n != "m0"]
     assert all("m0" not in m.sees() for m in others)
     fleet.frozen.clear()
-    # Another one's attempt to reach the lost, as `Contact` makes them.
+    # Another one's attempt to reach the lost, as `Bootstrap` makes them.
     fleet.join("m1", "m0")
     fleet.advance(5)
     assert not _disagree(fleet)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -61,7 +61,7 @@
     kept.note_death(_call("/back/x"), _BODY)
     assert not kept.blocks(_call("/back/x"), _BODY)
     kinds = [type(message) for _, message in transport.sent]
-    assert kinds == [wire.Death, wire.Acquittal, wire.Death]
+    assert kinds == [wire.Death, wire.Cleared, wire.Death]
 
 
 def test_a_death_told_twice_counts_once(made):
--- a/tests/unit/test_recovering.py
+++ b/tests/unit/test_recovering.py
@@ -16,14 +16,14 @@
 _OTHERWISE = calls.explain(
     outcomes.Outcome.UNKNOWN, outcomes.ISSUER_LOST, "front-1.1.1", "front-1"
 )
-_NEVER_SEEN = wire.Testimony(1, None)
-_RUNNING = wire.Testimony(1, None, running=True)
+_NEVER_SEEN = wire.InquiryReply(1, None)
+_RUNNING = wire.InquiryReply(1, None, running=True)
 
 
 def _kept(outcome, body=_BODY):
     fingerprint = fingerprints.of_request(_CALL, body)
     answer = wire.KeptAnswer(fingerprint, 200, [], outcome, "", "back-1", b"!")
-    return wire.Testimony(1, None, answer=answer)
+    return wire.InquiryReply(1, None, answer=answer)
 
 
 class _Inquirer:
@@ -57,8 +57,8 @@
 
 async def test_nothing_but_a_decided_answer_of_its_own_counts():
     other = _kept("ran", bodies.WholeBody(b"4 crates"))
-    for testimony in (_NEVER_SEEN, _kept("not-run"), _kept("unknown"), other):
-        assert await _fetch([testimony]) is _OTHERWISE
+    for reply in (_NEVER_SEEN, _kept("not-run"), _kept("unknown"), other):
+        assert await _fetch([reply]) is _OTHERWISE
     assert await _fetch([]) is _OTHERWISE
 
 
--- a/tests/unit/test_stories.py
+++ b/tests/unit/test_reports.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from savorybend.internal.ctl import stories
+from savorybend.internal.ctl import reports
 
 _ID = "front-1.5.1"
 
@@ -23,57 +23,57 @@
 
 # Each row: what front-1 and back-1 know, front-1's incarnation, the story.
 _ROWS = {
-    "ran": (_STARTED, _RAN, 5, stories.Known("ran", "")),
+    "ran": (_STARTED, _RAN, 5, reports.Known("ran", "")),
     "ran, though its entry lost the answer": (
         _DOUBT,
         _RAN,
         5,
-        stories.Known("ran", ""),
+        reports.Known("ran", ""),
     ),
-    "ran, and its issuer was lost": (None, _RAN, 6, stories.Known("ran", "")),
+    "ran, and its issuer was lost": (None, _RAN, 6, reports.Known("ran", "")),
     "answered in part": (
         _STARTED,
         _knows(_entry("partial")),
         5,
-        stories.Known("partial", ""),
+        reports.Known("partial", ""),
     ),
     "refused by its issuer": (
         _LIMITED,
         _DOUBT,
         5,
-        stories.Known("not-run", "limited"),
+        reports.Known("not-run", "limited"),
     ),
-    "in flight": (_STARTED, _knows(running=True), 5, stories.Running()),
+    "in flight": (_STARTED, _knows(running=True), 5, reports.Running()),
     "not used": (
         _knows(None, "unused"),
         _knows(),
         5,
-        stories.NeverSeen("the ID was issued and not used"),
+        reports.NeverSeen("the ID was issued and not used"),
     ),
     "never issued": (
         _knows(None, "never-issued"),
         _knows(),
         5,
-        stories.NeverSeen("the ID was never issued"),
+        reports.NeverSeen("the ID was never issued"),
     ),
-    "its VM was lost": (None, _knows(), 6, stories.VmLost("front-1")),
+    "its VM was lost": (None, _knows(), 6, reports.VmLost("front-1")),
     "refused elsewhere, and its VM was lost": (
         None,
         _REFUSED,
         None,
-        stories.VmLost("front-1"),
+        reports.VmLost("front-1"),
     ),
     "its issuer is silent": (
         None,
         _knows(),
         5,
-        stories.NotKnown("its issuer front-1 gave no answer"),
+        reports.NotKnown("its issuer front-1 gave no answer"),
     ),
     "let go of": (
         _knows(None, "started"),
         _knows(),
         5,
-        stories.NotKnown("it was started; the journals kept newer requests"),
+        reports.NotKnown("it was started; the journals kept newer requests"),
     ),
 }
 
@@ -82,9 +82,9 @@
 def test_the_story_follows_from_what_is_known(row):
     issuer, server, incarnation, story = row
     knowledge = {"front-1": issuer, "back-1": server}
-    heard = stories.Heard(
+    heard = reports.Heard(
         {name: known for name, known in knowledge.items() if known},
         [name for name, known in knowledge.items() if not known],
         {"front-1": incarnation} if incarnation else {},
     )
-    assert stories.tell(_ID, heard) == story
+    assert reports.tell(_ID, heard) == story
