Make the race of two operators a test that can fail

Cause: the race was to be seen failing with the mechanism off, but with conditional updates off it still passed: it asked only that one operator be accepted, and the two rarely overlapped. Change: both start from one base version while the platform is slow, so both have read it before either writes; exactly one is accepted, the other is told which version is there. Measured: passes; with the condition left out of the update both are accepted and it fails. Conclusion: the check is stricter than before.

--- a/tests/integration/test_configuration_in_force.py
+++ b/tests/integration/test_configuration_in_force.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_asyncio
 
+from savorybend.internal.ctl import exits
 from standins import proxy as proxies
 from standins import site as sites
 from tests.integration import fleets
@@ -44,17 +45,27 @@
 
 
 async def test_two_operators_racing(two_centres):
+    base = await fleets.submit(two_centres, 30)
+    # Both have read the same version before either writes.
+    await two_centres.control_platform("slow", delay_s=0.7)
     results = await asyncio.gather(
         *(
             two_centres.ctl(
-                "config", "submit", "-", stdin=fleets.create_text(number)
+                "config",
+                "submit",
+                "-",
+                "--base",
+                str(base),
+                stdin=fleets.create_text(number),
             )
             for number in (3, 4)
         )
     )
-    accepted = [text for code, text in results if code == 0]
-    assert accepted
-    version = max(int(text.split("version ")[1]) for text in accepted)
+    await two_centres.control_platform("up")
+    (_, accepted), (code, refused) = sorted(results)
+    assert code == exits.CONFLICT, results
+    version = int(accepted.split("submitted: version ")[1].split()[0])
+    assert f"another operator's version {version} is there" in refused
     assert await fleets.in_force(two_centres, version, _NAMES)
 
 
