Take apart what had grown, and say once what stood twice

Change: flights.py follows a call; timers.Later calls back once however often it is asked; deployments.print_configuration is the examples' program. Behaviour is unchanged.

--- a/examples/deployments.py
+++ b/examples/deployments.py
@@ -1,5 +1,8 @@
 """What the example deployments are described with."""
 
+import argparse
+import json
+import pathlib
 import typing
 
 from savorybend import configuration
@@ -79,3 +82,15 @@
         key = keys[account.name]
         site.add_key(account.name, f"{account.name}-1", **key)
     return site
+
+
+def print_configuration(deployment: Deployment, description: str) -> None:
+    """Prints a deployment's configuration, as its program's arguments say."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument(
+        "keys",
+        type=pathlib.Path,
+        help="JSON: each client account's salt and hash from 'key create'",
+    )
+    keys = json.loads(parser.parse_args().keys.read_text())
+    print(describe(deployment, keys).to_json())
--- a/src/savorybend/internal/lending.py
+++ b/src/savorybend/internal/lending.py
@@ -62,7 +62,9 @@
         # Until when a data centre has nothing to lend, by account and centre.
         self._dry: dict[tuple[str, str], float] = {}
         self._turn = itertools.count()
-        self._sweeping = False
+        self._sweep_later = timers.Later(
+            parts.timers, _DONOR_WAIT_S, self._sweep
+        )
 
     def set_centres(self, centres: collections.abc.Iterable[str]) -> None:
         """Names the data centres that hold shares."""
@@ -144,7 +146,7 @@
         if not self._ask_donors(name, now_s):
             queue.pop()
             return self._answer(waiting, now_s)
-        self._sweep_later()
+        self._sweep_later.ask()
         return None
 
     def _add_donated(self, waiting: _Waiting, now_s: float) -> None:
@@ -218,21 +220,15 @@
                 break
         return True
 
-    def _sweep_later(self) -> None:
-        if not self._sweeping:
-            self._sweeping = True
-            self._parts.timers.after(_DONOR_WAIT_S, self._sweep)
-
     def _sweep(self) -> None:
         now_s = self._parts.clock.now_s()
-        self._sweeping = False
         for sent in self._questions.expire(_DONOR_WAIT_S, now_s):
             self._dry[sent.client_account, sent.to] = now_s + _DONOR_SILENT_S
         for name, queue in list(self._waiting.items()):
             if queue:
                 self._serve(name, now_s)
         if self._questions.any_open or any(self._waiting.values()):
-            self._sweep_later()
+            self._sweep_later.ask()
 
     def _demand_of(self, name: str, now_s: float) -> borrowing.Demand:
         found = self._demand.get(name)
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -1,7 +1,6 @@
 """Gives calls to the backend server on this VM; it has the last word."""
 
 import asyncio
-import collections.abc
 import typing
 
 import aiohttp
@@ -12,22 +11,16 @@
 from savorybend.internal import concurrency
 from savorybend.internal import errors
 from savorybend.internal import fingerprints
+from savorybend.internal import flights
 from savorybend.internal import handles
 from savorybend.internal import headers
 from savorybend.internal import journal
-from savorybend.internal import metrics
 from savorybend.internal import outcomes
 from savorybend.internal import quarantine
 from savorybend.internal import records
 from savorybend.internal import sendonce
 from savorybend.internal import timers
 
-# A backend server's own outcomes, where its answer states one.
-_STATED = {
-    outcomes.Outcome.PARTIAL.value: outcomes.Outcome.PARTIAL,
-    outcomes.Outcome.NOT_RUN.value: outcomes.Outcome.NOT_RUN,
-}
-
 
 class Parts(typing.NamedTuple):
     """What a serving side is made of."""
@@ -75,7 +68,13 @@
         if isinstance(ticket, outcomes.Refuse):
             return self._not_run(call, ticket)
         live = self._parts.handles.grant(call)
-        flight = _Flight(self._parts, live, ticket)
+        flight = flights.create_flight(
+            flights.Parts(
+                self._parts.clock, self._parts.gate, self._parts.handles
+            ),
+            live,
+            ticket,
+        )
         # The wait at the gate, or a pause of this VM, may have used up the
         # time; the clock counts suspension.
         if call.deadline_s <= self._parts.clock.now_s():
@@ -104,7 +103,7 @@
         return None
 
     async def _dispatch(
-        self, flight: "_Flight", body: bodies.Body
+        self, flight: flights.Flight, body: bodies.Body
     ) -> calls.Answer:
         call = flight.call
         left_s = call.deadline_s - self._parts.clock.now_s()
@@ -138,7 +137,7 @@
             return self._unknown(flight, outcomes.BACKEND_SERVER_LOST)
 
     async def _send(
-        self, flight: "_Flight", body: bodies.Body, left_s: float
+        self, flight: flights.Flight, body: bodies.Body, left_s: float
     ) -> aiohttp.ClientResponse:
         call = flight.call
         sent = [
@@ -151,7 +150,7 @@
         ]
         data = body.whole
         if data is None:
-            data = _parts_of(body, flight)
+            data = flights.read_body(body, flight)
             if body.length is not None:
                 sent.append(("Content-Length", str(body.length)))
         return await self._parts.session.request(
@@ -165,11 +164,11 @@
 
     async def _answer(
         self,
-        flight: "_Flight",
+        flight: flights.Flight,
         asked: bodies.Body,
         response: aiohttp.ClientResponse,
     ) -> calls.Answer:
-        outcome, reason = _outcome(flight.live, response)
+        outcome, reason = flights.outcome_of(flight.live, response)
         length = response.content_length
         if length is not None and length <= bodies.INLINE_BYTES:
             body = bodies.WholeBody(await response.read())
@@ -177,7 +176,7 @@
             self._parts.quarantine.note_answer(flight.call, asked)
         else:
             body = bodies.StreamedBody(
-                _reader(
+                flights.create_reader(
                     response,
                     lambda: self._parts.quarantine.note_death(
                         flight.call, asked
@@ -223,7 +222,7 @@
         )
 
     def _unknown(
-        self, flight: "_Flight", reason: outcomes.Reason
+        self, flight: flights.Flight, reason: outcomes.Reason
     ) -> calls.Answer:
         call = flight.call
         self._parts.journal.close(
@@ -242,97 +241,6 @@
         )._replace(effects=flight.live.effects or not call.idempotent)
 
 
-class _Flight:
-    """A call that the backend server works on, until it is over."""
-
-    def __init__(
-        self,
-        parts: Parts,
-        live: handles.LiveRequest,
-        ticket: concurrency.Ticket,
-    ):
-        self._parts = parts
-        self._ticket = ticket
-        self._over = False
-        self.live = live
-        self.body_lost = False
-
-    @property
-    def call(self) -> calls.Call:
-        """The call."""
-        return self.live.call
-
-    @property
-    def threshold(self) -> float:
-        """The highest threshold at this daemon and behind it."""
-        return max(self._parts.gate.threshold, self.live.threshold)
-
-    def end(self, whole: bool) -> None:
-        """Gives the ticket and the handle back; ending twice is no error."""
-        if self._over:
-            return
-        self._over = True
-        latency_s = self._parts.clock.now_s() - self._ticket.entered_s
-        metrics.backend_seconds(self.call.priority).observe(latency_s)
-        self._parts.handles.withdraw(self.live)
-        report = concurrency.Report(latency_s, not whole, self.live.children_s)
-        self._parts.gate.leave(self._ticket, report)
-
-    def end_of(self, response: aiohttp.ClientResponse):
-        """Returns what to call at the end of a streamed answer."""
-
-        def on_end(whole: bool) -> None:
-            if not whole:
-                response.close()
-            self.end(whole)
-
-        return on_end
-
-
-def _outcome(
-    live: handles.LiveRequest, response: aiohttp.ClientResponse
-) -> tuple[outcomes.Outcome, str]:
-    stated = _STATED.get(response.headers.get(headers.OUTCOME, ""))
-    if stated is None:
-        # An error that comes from below is no reason for the daemon above to
-        # retry: the daemon next to the failure has done so, if anyone may.
-        if response.status >= 500 and live.failed_below:
-            return outcomes.Outcome.PARTIAL, ""
-        return outcomes.Outcome.RAN, ""
-    if stated is outcomes.Outcome.NOT_RUN:
-        # A backend server that made child calls can't have run nothing.
-        if live.children:
-            return outcomes.Outcome.PARTIAL, ""
-        return stated, outcomes.BACKEND_SERVER_SHED.name
-    return stated, ""
-
-
-async def _parts_of(body: bodies.Body, flight: _Flight):
-    try:
-        while data := await body.read():
-            yield data
-    except (OSError, aiohttp.ClientError, errors.AnswerLostError):
-        flight.body_lost = True
-        raise
-
-
-def _reader(
-    response: aiohttp.ClientResponse,
-    on_broken: collections.abc.Callable[[], None],
-):
-    async def read() -> bytes:
-        try:
-            return await response.content.readany()
-        except (aiohttp.ClientError, OSError) as error:
-            on_broken()
-            raise errors.AnswerLostError(
-                f"the backend server's answer broke off ({error}): ask about "
-                "the request by its ID"
-            ) from error
-
-    return read
-
-
 def create_serving(parts: Parts) -> Serving:
     """Returns the serving side of a VM."""
     return Serving(parts)
--- a/src/savorybend/internal/spending.py
+++ b/src/savorybend/internal/spending.py
@@ -67,7 +67,7 @@
         self._accounts: dict[str, _Account] = {}
         self._questions = borrowing.create_questions()
         self._due: set[str] = set()
-        self._sweeping = False
+        self._sweep_later = timers.Later(parts.timers, _SWEEP_S, self._sweep)
         self._unanswered = 0
 
     async def take(self, name: str, deadline_s: float) -> outcomes.Verdict:
@@ -86,7 +86,7 @@
         waiter = _Waiter(asyncio.get_running_loop().create_future(), until_s)
         account.waiters.append(waiter)
         self._ask_if_wanted(name, account, now_s)
-        self._sweep_later()
+        self._sweep_later.ask()
         good_until_s = await waiter.settled
         # A pause may have come between the token and this line.
         now_s = self._parts.clock.now_s()
@@ -164,16 +164,10 @@
                 )
         if asks:
             self._parts.send(allocator, messages.TokenRequest(tuple(asks)))
-            self._sweep_later()
-
-    def _sweep_later(self) -> None:
-        if not self._sweeping:
-            self._sweeping = True
-            self._parts.timers.after(_SWEEP_S, self._sweep)
+            self._sweep_later.ask()
 
     def _sweep(self) -> None:
         now_s = self._parts.clock.now_s()
-        self._sweeping = False
         for sent in self._questions.expire(_ANSWER_S, now_s):
             self._on_unanswered(sent.to)
         waiting = False
@@ -183,7 +177,7 @@
                 waiting = True
                 self._ask_if_wanted(name, account, now_s)
         if waiting or self._questions.any_open:
-            self._sweep_later()
+            self._sweep_later.ask()
 
     def _on_unanswered(self, allocator: str) -> None:
         # The rightful one is silent too until owners have turned to it, so
--- a/src/savorybend/internal/timers.py
+++ b/src/savorybend/internal/timers.py
@@ -145,6 +145,31 @@
         self.run_due()
 
 
+class Later:
+    """Calls back once, a while after it was first asked to.
+
+    Asking again before then changes nothing.
+    """
+
+    def __init__(
+        self, service: TimerService, delay_s: float, callback: Callback
+    ):
+        self._service = service
+        self._delay_s = delay_s
+        self._callback = callback
+        self._asked = False
+
+    def ask(self) -> None:
+        """Asks for the call, unless it is under way."""
+        if not self._asked:
+            self._asked = True
+            self._service.after(self._delay_s, self._call)
+
+    def _call(self) -> None:
+        self._asked = False
+        self._callback()
+
+
 def create_timer_service(clock: Clock | None = None) -> TimerService:
     """Returns a service that the running asyncio loop drives."""
     return TimerService(clock or SystemClock(), asyncio.get_running_loop())
--- a/tests/unit/test_timers.py
+++ b/tests/unit/test_timers.py
@@ -86,3 +86,15 @@
     _, service = _create()
     with pytest.raises(ValueError, match="above zero"):
         service.every(0, lambda: None)
+
+
+def test_later_calls_once_however_often_it_is_asked():
+    clock, service = _create()
+    seen = []
+    later = timers.Later(service, 1.0, lambda: seen.append(clock.now_s()))
+    for _ in range(4):
+        later.ask()
+        later.ask()
+        clock.advance(0.5)
+        service.run_due()
+    assert seen == [1001.0, 1002.0]
