--- a/src/savorybend/internal/allocation.py
+++ b/src/savorybend/internal/allocation.py
@@ -232,6 +232,18 @@
             retry_after_s = self._retry_after_s(bucket)
         return Grant(tokens, bucket.terms.loan_s, retry_after_s)
 
+    def lend_spare(self, name: str, wanted: int, now_s: float) -> int:
+        """Lends up to `wanted` tokens from the upper half of a bucket.
+
+        What lapses unspent there would mostly have overflowed.
+        """
+        bucket = self._bucket(name, now_s)
+        half = bucket.terms.depth * self._part / 2
+        spare = math.floor(bucket.level(now_s) - half)
+        if spare <= 0:
+            return 0
+        return self.lend(name, min(wanted, spare), now_s).tokens
+
     def advance(self, now_s: float) -> None:
         """Drops the parts that have lapsed, each at its own time."""
         if now_s < self._next_lapse_s:
--- a/src/savorybend/internal/borrowing.py
+++ b/src/savorybend/internal/borrowing.py
@@ -12,6 +12,9 @@
 # Tokens are asked for this far ahead, in seconds: a few requests a second
 # keep steady traffic from waiting.
 AHEAD_S = 0.25
+# Where there is plenty, tokens are asked for this part of the time that they
+# hold: each message less is one less for the allocator, too.
+_SPARE_PART = 0.75
 
 
 class Demand:
@@ -85,10 +88,11 @@
 class Borrowed:
     """One account's tokens and demand at this daemon."""
 
-    __slots__ = ("_ahead_s", "demand", "dry_until_s", "lots")
+    __slots__ = ("_ahead_s", "_loan_s", "demand", "dry_until_s", "lots")
 
     def __init__(self, now_s: float):
         self._ahead_s = AHEAD_S
+        self._loan_s = 0.0
         self.lots = Lots()
         self.demand = Demand(now_s)
         self.dry_until_s = float("-inf")
@@ -98,6 +102,7 @@
         self.lots.add(loan.tokens, sent_s + loan.valid_s)
         # What is asked for ahead must be spent before it lapses.
         self._ahead_s = min(AHEAD_S, loan.valid_s / 2)
+        self._loan_s = loan.valid_s
         if loan.retry_after_s > 0:
             self.dry_until_s = now_s + loan.retry_after_s
 
@@ -116,6 +121,11 @@
             return 0
         return max(waiting, ahead + waiting - at_hand)
 
+    def spare(self, wanted: int, now_s: float) -> int:
+        """Returns how many tokens beyond `wanted` would be spent in time."""
+        whole = int(self.demand.per_s(now_s) * self._loan_s * _SPARE_PART)
+        return max(0, whole - wanted - self.lots.at_hand(now_s))
+
 
 class Sent(typing.NamedTuple):
     """A question that isn't answered yet.
@@ -141,12 +151,17 @@
         self._late: dict[int, Sent] = {}
 
     def open(
-        self, to: str, client_account: str, tokens: int, now_s: float
+        self,
+        to: str,
+        client_account: str,
+        tokens: int,
+        now_s: float,
+        spare: int = 0,
     ) -> messages.Ask:
         """Returns a new question."""
         self._next += 1
         self._open[self._next] = Sent(to, client_account, now_s)
-        return messages.Ask(self._next, client_account, tokens)
+        return messages.Ask(self._next, client_account, tokens, spare)
 
     def close(self, sequence: int) -> Sent | None:
         """Returns the question, once; None if it isn't open."""
--- a/src/savorybend/internal/lending.py
+++ b/src/savorybend/internal/lending.py
@@ -140,6 +140,9 @@
         )
         self._add_donated(waiting, now_s)
         if waiting.tokens >= ask.tokens:
+            spare = self._allocator.lend_spare(name, ask.spare, now_s)
+            waiting.tokens += spare
+            self._demand_of(name, now_s).add(spare, now_s)
             return self._answer(waiting, now_s)
         queue = self._waiting.setdefault(name, collections.deque())
         queue.append(waiting)
--- a/src/savorybend/internal/spending.py
+++ b/src/savorybend/internal/spending.py
@@ -204,13 +204,14 @@
             account = self._account(name)
             tokens = account.borrowed.wanted(len(account.waiters), now_s)
             if tokens > 0:
-                wanted[name] = tokens
+                spare = account.borrowed.spare(tokens, now_s)
+                wanted[name] = tokens, spare
         if not wanted:
             return
         for allocator in self._allocators(now_s):
             asks = tuple(
-                self._questions.open(allocator, name, tokens, now_s)
-                for name, tokens in wanted.items()
+                self._questions.open(allocator, name, tokens, now_s, spare)
+                for name, (tokens, spare) in wanted.items()
             )
             self._parts.send(allocator, messages.TokenRequest(asks))
         self._sweep_later.ask()
--- a/src/savorybend/internal/wire/limits.py
+++ b/src/savorybend/internal/wire/limits.py
@@ -117,11 +117,13 @@
         sequence: Names the question, so that no loan is counted twice.
         client_account: Whose tokens.
         tokens: How many.
+        spare: How many more would be spent in time, if there is plenty.
     """
 
     sequence: int
     client_account: str
     tokens: int
+    spare: int = 0
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
