Let only a daemon itself renew its record

Cause: members believed one another's news, so whoever held the fleet secret could announce a record in another's name, say that it had left, or make it shut down by a later start that never was. Change: each start makes an Ed25519 key, signs each revision of its record and its last word (signing.py). A record is verified when it is news. A later start with another key waits while the holder lives, and the platform's object decides (succession.py); without the platform the holder keeps its name while it speaks up. Refusals are counted by cause. Tests: a row each for what can be forged, at the roster and with real processes; a killed daemon that starts again while the platform is out. The test of a name that was started anew now gives the platform's word for it: it let the fleet secret alone end a living daemon, which is the fault; that without this word nobody ends is a test of its own. The order of news still makes no difference: the property's end also doubts claimed names, as succession.py does.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -3,6 +3,7 @@
     python -m bench.capacity idle --sizes 5 10 20 40   # real daemons
     python -m bench.capacity memory                    # one process
     python -m bench.capacity configuration             # one process
+    python -m bench.capacity signatures                # one process
 
 `idle` starts daemons without callers and reads what control costs them from
 their processor time, their memory and their metrics.
@@ -22,8 +23,11 @@
 from savorybend.internal import journal
 from savorybend.internal import keys
 from savorybend.internal import members
+from savorybend.internal import signing
 from savorybend.internal import snapshot
 from savorybend.internal.ctl import tables
+from savorybend.internal.wire import codec
+from savorybend.internal.wire import membership as wire
 from standins import site as sites
 from tests import documents
 
@@ -210,10 +214,38 @@
     ]
 
 
+def _signatures() -> list[dict]:
+    """Returns what signing adds to a record, and what it takes."""
+    signer = signing.create_signer()
+    plain = [_record(number) for number in range(_MEMBERS)]
+    started = time.process_time()
+    signed = [signer.sign(record) for record in plain]
+    signed_s = time.process_time()
+    genuine = all(signing.is_signed(record) for record in signed)
+    verified_s = time.process_time()
+    return [
+        {
+            "genuine": genuine,
+            "bytes_unsigned": _told_bytes(plain),
+            "bytes_signed": _told_bytes(signed),
+            "us_to_sign": (signed_s - started) / _MEMBERS * 1e6,
+            "us_to_verify": (verified_s - signed_s) / _MEMBERS * 1e6,
+        }
+    ]
+
+
+def _told_bytes(records: list[members.Record]) -> float:
+    updates = [wire.Update(record, "alive") for record in records]
+    message = wire.Gossip(updates, wire.Standing(1, 0.0))
+    return len(codec.encode(message)) / len(records)
+
+
 def main() -> None:
     """Prints one table of slopes."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=("idle", "memory", "configuration"))
+    parser.add_argument(
+        "what", choices=("idle", "memory", "configuration", "signatures")
+    )
     parser.add_argument("--sizes", type=int, nargs="+", default=[5, 10, 20])
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--json", action="store_true")
@@ -226,6 +258,8 @@
             ]
         case "memory":
             rows = _memory()
+        case "signatures":
+            rows = _signatures()
         case _:
             rows = _configuration()
     print(tables.render(rows, options.json))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -118,7 +118,9 @@
     gc.collect()
     tracemalloc.start()
     directory = members.create_directory(fakes.create_record("own"))
-    roster = rosters.create_roster(directory, fakes.create_clock())
+    roster = rosters.create_roster(
+        directory, fakes.create_clock(), fakes.create_signer("own")
+    )
     chosen = neighbours.create_neighbours(directory)
     before, _ = tracemalloc.get_traced_memory()
     for number in range(size):
--- a/bench/repair.py
+++ b/bench/repair.py
@@ -46,7 +46,9 @@
 
     def __init__(self, name: str, send):
         directory = members.create_directory(fakes.create_record(name))
-        self.roster = rosters.create_roster(directory, fakes.create_clock())
+        self.roster = rosters.create_roster(
+            directory, fakes.create_clock(), fakes.create_signer(name)
+        )
         self.repair = repairs.create_repair(self.roster, send, _wrap)
 
     def take(self, peer: str, message: typing.Any) -> None:
@@ -83,7 +85,7 @@
                 side.roster.take(update)
         for number in range(min(different, size)):
             old = updates[number].record
-            newer = msgspec.structs.replace(old, revision=1)
+            newer = fakes.sign(msgspec.structs.replace(old, revision=1))
             side = self.sides["ab"[number % 2]]
             side.roster.take(wire.Update(newer, "alive"))
 
--- a/src/savorybend/internal/announcing.py
+++ b/src/savorybend/internal/announcing.py
@@ -53,7 +53,7 @@
         own = self._directory.own
         try:
             found = await self._store.get(platform.DAEMON_KIND, own.name)
-            record = _decode(found) if found else None
+            record = decode(found) if found else None
             if record is not None and record.incarnation == own.incarnation:
                 await self._store.delete(platform.DAEMON_KIND, own.name)
         except errors.PlatformUnavailableError as error:
@@ -63,7 +63,7 @@
         own = self._directory.own
         kind = platform.DAEMON_KIND
         found = await self._store.get(kind, own.name)
-        known = _decode(found) if found else None
+        known = decode(found) if found else None
         if known is not None and known.incarnation >= own.incarnation:
             # A lost reply, or a later start of this name.
             return
@@ -74,11 +74,12 @@
     async def _list(self) -> list[members.Record]:
         listing = await self._store.list(platform.DAEMON_KIND)
         own = self._directory.own.name
-        found = (_decode(item) for item in listing.objects)
+        found = (decode(item) for item in listing.objects)
         return [r for r in found if r is not None and r.name != own]
 
 
-def _decode(found: platform.Object) -> members.Record | None:
+def decode(found: platform.Object) -> members.Record | None:
+    """Returns the record in a daemon's object, or None if there is none."""
     try:
         return msgspec.json.decode(found.value, type=members.Record)
     except msgspec.MsgspecError as error:
--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -22,6 +22,7 @@
 from savorybend.internal import peers
 from savorybend.internal import platform
 from savorybend.internal import settings as settings_module
+from savorybend.internal import signing
 from savorybend.internal import snapshot
 from savorybend.internal import timers
 from savorybend.internal.wire import limits as wire_limits
@@ -54,7 +55,8 @@
         self._timers = timers.create_timer_service()
         clock = self._timers.clock
         keys = peerkeys.create_key_pair()
-        own = fleet.create_record(settings, keys.public)
+        self._signer = signing.create_signer()
+        own = fleet.create_record(settings, keys.public, self._signer)
         self._directory = members.create_directory(own)
         self._transport = peers.create_transport(
             self._directory, keys, self._timers
@@ -173,6 +175,7 @@
                 store=self._platform,
                 session=self._session,
                 rng=random.Random(),
+                signer=self._signer,
             )
         )
 
--- a/src/savorybend/internal/fleet.py
+++ b/src/savorybend/internal/fleet.py
@@ -19,6 +19,8 @@
 from savorybend.internal import membership
 from savorybend.internal import platform
 from savorybend.internal import settings as settings_module
+from savorybend.internal import signing
+from savorybend.internal import succession
 from savorybend.internal import timers
 
 # Lets the last messages out before the connections close.
@@ -36,6 +38,7 @@
     store: platform.Platform
     session: aiohttp.ClientSession
     rng: random.Random
+    signer: signing.Signer
 
 
 class Fleet:
@@ -63,6 +66,9 @@
         self._door = joining.create_door(
             parts.settings.fleet_secret, clock, self._bootstrap.answer
         )
+        self._succession = succession.create_succession(
+            self._membership.roster, parts.store, parts.rng
+        )
         self._watcher = configwatch.create_watcher(
             configwatch.Parts(
                 parts.configuration,
@@ -87,7 +93,11 @@
     def start(self) -> list[collections.abc.Coroutine]:
         """Begins to probe; returns the work to run until the end."""
         self._membership.start()
-        return [self._bootstrap.run(), self._watcher.run()]
+        return [
+            self._bootstrap.run(),
+            self._succession.run(),
+            self._watcher.run(),
+        ]
 
     def set_draining(self, draining: bool) -> None:
         """Tells the fleet whether this daemon takes new work."""
@@ -113,6 +123,7 @@
             parts.timers,
             parts.rng,
             spread,
+            parts.signer,
         )
     )
     parts.configuration.subscribe(lambda _: created.tell_neighbours())
@@ -120,10 +131,10 @@
 
 
 def create_record(
-    settings: settings_module.Settings, public_key: str
+    settings: settings_module.Settings, public_key: str, signer: signing.Signer
 ) -> members.Record:
     """Returns what a daemon that starts now announces of itself."""
-    return members.Record(
+    record = members.Record(
         name=settings.name,
         # Two starts of a daemon are never in the same millisecond, and a
         # replaced VM has no disk to count them on.
@@ -141,6 +152,7 @@
         ),
         public_key=public_key,
     )
+    return signer.sign(record)
 
 
 def create_fleet(parts: Parts) -> Fleet:
--- a/src/savorybend/internal/members.py
+++ b/src/savorybend/internal/members.py
@@ -12,6 +12,7 @@
 
 SERVING = "serving"
 DRAINING = "draining"
+LEFT = "left"
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
@@ -26,8 +27,10 @@
         peer_address: Where daemons connect, as `IP:PORT`.
         admin_address: Where operators ask, as `IP:PORT`.
         public_key: Its CURVE key, in Z85.
-        state: `SERVING` or `DRAINING`.
+        state: `SERVING`, `DRAINING`, or `LEFT` in its last word.
         revision: Rises with each change within an incarnation.
+        signing_key: Its Ed25519 key, made with each start.
+        signature: Of all the other fields, by that key.
     """
 
     name: str
@@ -40,6 +43,8 @@
     public_key: str
     state: str = SERVING
     revision: int = 0
+    signing_key: bytes = b""
+    signature: bytes = b""
 
     @property
     def age_key(self) -> tuple[int, int]:
--- a/src/savorybend/internal/membership.py
+++ b/src/savorybend/internal/membership.py
@@ -11,6 +11,7 @@
 from savorybend.internal import repair as repairs
 from savorybend.internal import roster as rosters
 from savorybend.internal import rumours
+from savorybend.internal import signing
 from savorybend.internal import timers
 from savorybend.internal.wire import membership as wire
 
@@ -57,6 +58,7 @@
     timers: timers.TimerService
     rng: random.Random
     configuration: Configuration
+    signer: signing.Signer
 
 
 class Membership:
@@ -65,7 +67,9 @@
     def __init__(self, parts: Parts):
         self._parts = parts
         clock = parts.timers.clock
-        self._roster = rosters.create_roster(parts.directory, clock)
+        self._roster = rosters.create_roster(
+            parts.directory, clock, parts.signer
+        )
         self._neighbours = neighbours.create_neighbours(parts.directory)
         self._rumours = rumours.create_rumours()
         self._prober = probing.create_prober(
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -8,14 +8,16 @@
 
 from savorybend.internal import charts
 from savorybend.internal import members
+from savorybend.internal import metrics
 from savorybend.internal import signatures
+from savorybend.internal import signing
 from savorybend.internal import timers
 from savorybend.internal.wire import membership as wire
 
 ALIVE = "alive"
 SUSPECT = "suspect"
 DEAD = "dead"
-LEFT = "left"
+LEFT = members.LEFT
 
 # A daemon's news at one revision only ever moves up this order, so that the
 # order in which daemons hear of it doesn't matter.
@@ -54,19 +56,29 @@
 
 
 Listener = collections.abc.Callable[[wire.Update], None]
+ClaimListener = collections.abc.Callable[[str], None]
 
 
 class Roster:
     """Follows each daemon's state and keeps the directory in step."""
 
-    def __init__(self, directory: members.Directory, clock: timers.Clock):
+    def __init__(
+        self,
+        directory: members.Directory,
+        clock: timers.Clock,
+        signer: signing.Signer,
+    ):
         self._directory = directory
         self._clock = clock
+        self._signer = signer
         self._chart = charts.load("member")
         self._tree = signatures.create_tree()
         self._entries: dict[str, Entry] = {}
         self._below: dict[str, list[Entry]] = {}
+        # News of a name whose holder is known by another key and lives.
+        self._claims: dict[str, wire.Update] = {}
         self._listeners: list[Listener] = []
+        self._claim_listeners: list[ClaimListener] = []
         self._replaced_listeners: list[collections.abc.Callable[[], None]] = []
         self._leaving = False
         own = Entry(directory.own, ALIVE, clock.now_s())
@@ -92,6 +104,10 @@
         """Calls `listener` when this daemon's name was started anew."""
         self._replaced_listeners.append(listener)
 
+    def subscribe_claims(self, listener: ClaimListener) -> None:
+        """Calls `listener` with a name that another key claims."""
+        self._claim_listeners.append(listener)
+
     def get(self, name: str) -> Entry | None:
         """Returns what is known of a daemon."""
         return self._entries.get(name)
@@ -125,13 +141,59 @@
             return self._take_own(update)
         known = self._entries.get(update.record.name)
         if known is None:
-            return self._add(update)
+            return self._is_genuine(update) and self._add(update)
         if update.state == DEAD and known.state in _PRESENT:
             # Another daemon's verdict, perhaps from across a cut that has
             # healed: the accused is given the time to speak up.
             update = wire.Update(update.record, SUSPECT)
+        if update.record.age_key < known.record.age_key:
+            metrics.peer_refusals("old-record").inc()
+        if _key_of(update) <= known.key:
+            return False
+        if update.record == known.record and update.state != LEFT:
+            return self._move(known, update)
+        return self._renew(known, update)
+
+    def _renew(self, known: Entry, update: wire.Update) -> bool:
+        if not self._is_genuine(update):
+            return False
+        if update.record.signing_key != known.record.signing_key:
+            if update.record.incarnation <= known.record.incarnation:
+                metrics.peer_refusals("forged-record").inc()
+                return False
+            if known.state in _PRESENT:
+                self._claim(update)
+                return False
         return self._move(known, update)
 
+    def settle(self, name: str, announced: members.Record | None) -> None:
+        """Takes the platform's word for who holds a claimed name.
+
+        Args:
+            name: The name.
+            announced: Its record on the platform, if there is one.
+        """
+        claim = self._claims.pop(name, None)
+        known = self._entries.get(name)
+        if claim is None or known is None:
+            return
+        if announced is None or not _succeeds(announced, known.record):
+            metrics.peer_refusals("claimed-name").inc()
+        elif name == self.own.name:
+            # Its key is refused everywhere in favour of the later start's.
+            for listener in self._replaced_listeners:
+                listener()
+        else:
+            if claim.record.signing_key != announced.signing_key:
+                claim = wire.Update(announced, ALIVE)
+            self._move(known, claim)
+
+    def doubt(self, name: str) -> None:
+        """Gives the holder of a claimed name the time to speak up."""
+        known = self._entries.get(name)
+        if known is not None and name in self._claims:
+            self.take(wire.Update(known.record, SUSPECT))
+
     def expire(self, name: str) -> bool:
         """Takes a daemon for dead, on this daemon's own account."""
         known = self._entries.get(name)
@@ -140,9 +202,6 @@
         return self._move(known, wire.Update(known.record, DEAD))
 
     def _move(self, known: Entry, update: wire.Update) -> bool:
-        offered = (*update.record.age_key, _RANKS[update.state])
-        if offered <= known.key:
-            return False
         self._toggle(known)
         state = known.state
         if update.record.age_key > known.record.age_key:
@@ -153,8 +212,15 @@
         self._toggle(known)
         self._settle(known)
         self._tell(update)
+        self._review_claim(known)
         return True
 
+    def _review_claim(self, known: Entry) -> None:
+        claim = self._claims.get(known.record.name)
+        if claim is not None and known.state not in _PRESENT:
+            del self._claims[known.record.name]
+            self.take(claim)
+
     def announce(self, **fields: typing.Any) -> None:
         """Puts out a new revision of this daemon's own record."""
         self._announce(self.own.revision + 1, fields)
@@ -162,7 +228,12 @@
     def leave(self) -> wire.Update:
         """Returns this daemon's last word, and spreads it."""
         self._leaving = True
-        update = wire.Update(self.own, LEFT)
+        revision = self.own.revision + 1
+        record = msgspec.structs.replace(
+            self.own, revision=revision, state=LEFT
+        )
+        # Signed, since a daemon that left is not asked whether it lives.
+        update = wire.Update(self._signer.sign(record), LEFT)
         self._tell(update)
         return update
 
@@ -184,10 +255,11 @@
             # An old accusation: its sender missed the word against it.
             self._tell(wire.Update(own, ALIVE))
             return False
-        if update.record.incarnation > own.incarnation:
-            # Its key is refused everywhere in favour of the later start's.
-            for listener in self._replaced_listeners:
-                listener()
+        if update.record != own and not self._is_genuine(update):
+            return False
+        if update.record.signing_key != own.signing_key:
+            if update.record.incarnation > own.incarnation:
+                self._claim(update)
             return False
         # Only this daemon raises its revision, so the others drop the
         # accusation as soon as they hear of the new one.
@@ -196,6 +268,7 @@
 
     def _announce(self, revision: int, fields: dict[str, typing.Any]) -> None:
         record = msgspec.structs.replace(self.own, revision=revision, **fields)
+        record = self._signer.sign(record)
         entry = self._entries[record.name]
         self._toggle(entry)
         entry.record = record
@@ -238,6 +311,28 @@
             )
         )
 
+    def _claim(self, update: wire.Update) -> None:
+        name = update.record.name
+        held = self._claims.get(name)
+        if held is None or _key_of(update) > _key_of(held):
+            self._claims[name] = update
+        for listener in self._claim_listeners:
+            listener(name)
+
+    def _is_genuine(self, update: wire.Update) -> bool:
+        """Returns whether the daemon itself made a record, or counts it."""
+        record = update.record
+        owner = self._directory.name_of_key(record.public_key)
+        genuine = (
+            (update.state == LEFT) == (record.state == LEFT)
+            # Another's messages would be taken for this one's.
+            and (not owner or owner == record.name)
+            and signing.is_signed(record)
+        )
+        if not genuine:
+            metrics.peer_refusals("forged-record").inc()
+        return genuine
+
     def _tell(self, update: wire.Update) -> None:
         for listener in self._listeners:
             listener(update)
@@ -248,6 +343,16 @@
     return _RANKS.get(state, -1)
 
 
-def create_roster(directory: members.Directory, clock: timers.Clock) -> Roster:
+def _key_of(update: wire.Update) -> tuple[int, int, int]:
+    return (*update.record.age_key, _RANKS[update.state])
+
+
+def _succeeds(record: members.Record, known: members.Record) -> bool:
+    return record.incarnation > known.incarnation and signing.is_signed(record)
+
+
+def create_roster(
+    directory: members.Directory, clock: timers.Clock, signer: signing.Signer
+) -> Roster:
     """Returns a roster that knows only this daemon."""
-    return Roster(directory, clock)
+    return Roster(directory, clock, signer)
--- /dev/null
+++ b/src/savorybend/internal/succession.py
@@ -0,0 +1,74 @@
+"""Settles who holds a name that two keys claim, by the platform's word."""
+
+import asyncio
+import random
+
+from savorybend.internal import announcing
+from savorybend.internal import budget
+from savorybend.internal import errors
+from savorybend.internal import logs
+from savorybend.internal import platform
+from savorybend.internal import roster as rosters
+
+# Claims spread in rounds of rumours; a fleet of 1,000 then reads one object
+# within a second or two, far below what the platform takes.
+_JITTER_S = 0.2
+# Leaves half of the platform's budget to the configuration and the limits,
+# however many names a hostile member claims.
+_PAUSE_S = 0.5
+
+_log = logs.get()
+
+
+class Succession:
+    """Asks the platform about names that are claimed with another key."""
+
+    def __init__(
+        self,
+        roster: rosters.Roster,
+        store: platform.Platform,
+        rng: random.Random,
+    ):
+        self._roster = roster
+        self._store = store
+        self._rng = rng
+        self._backoff = budget.create_backoff(rng)
+        self._names: dict[str, None] = {}
+        self._claimed = asyncio.Event()
+        roster.subscribe_claims(self._on_claim)
+
+    async def run(self) -> None:
+        """Settles claims until cancelled."""
+        while True:
+            await self._claimed.wait()
+            self._claimed.clear()
+            await asyncio.sleep(self._rng.uniform(0, _JITTER_S))
+            for name in list(self._names):
+                await self._settle(name)
+
+    def _on_claim(self, name: str) -> None:
+        self._names[name] = None
+        self._claimed.set()
+
+    async def _settle(self, name: str) -> None:
+        try:
+            found = await self._store.get(platform.DAEMON_KIND, name)
+        except errors.PlatformUnavailableError as error:
+            _log.info("claim_not_settled", daemon=name, error=str(error))
+            # Without the platform a name is its holder's while that one
+            # speaks up; a VM that was replaced can't.
+            self._roster.doubt(name)
+            self._claimed.set()
+            await asyncio.sleep(self._backoff.fail())
+            return
+        self._backoff.reset()
+        del self._names[name]
+        self._roster.settle(name, announcing.decode(found) if found else None)
+        await asyncio.sleep(_PAUSE_S)
+
+
+def create_succession(
+    roster: rosters.Roster, store: platform.Platform, rng: random.Random
+) -> Succession:
+    """Returns what settles the claims that `roster` meets."""
+    return Succession(roster, store, rng)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,7 @@
 """Hand-driven fakes at the interfaces."""
 
+import functools
+import hashlib
 import random
 
 from savorybend.internal import bootstrap
@@ -8,6 +10,7 @@
 from savorybend.internal import errors
 from savorybend.internal import members
 from savorybend.internal import membership
+from savorybend.internal import signing
 from savorybend.internal import timers
 from savorybend.internal.wire import codec
 from savorybend.internal.wire import membership as wire
@@ -36,6 +39,7 @@
     Attributes:
         cut: Pairs of names between which nothing passes.
         frozen: Names whose messages and timers wait.
+        announced: The records on the platform, or None while it is out.
     """
 
     def __init__(self, seed: int = 1, delay_s: float = 0.01):
@@ -44,6 +48,7 @@
         self.members: dict[str, Member] = {}
         self.cut: set[frozenset[str]] = set()
         self.frozen: set[str] = set()
+        self.announced: dict[str, members.Record] | None = None
         self.sent_bytes = 0
         self.sent_messages = 0
         self._rng = random.Random(seed)
@@ -117,9 +122,15 @@
         self.spread = configspread.create_spread(self.store, self, self.timers)
         self.membership = membership.create_membership(
             membership.Parts(
-                self.directory, self, self.timers, rng, self.spread
+                self.directory,
+                self,
+                self.timers,
+                rng,
+                self.spread,
+                create_signer(name, incarnation),
             )
         )
+        self.membership.roster.subscribe_claims(self._on_claim)
         self.bootstrap = bootstrap.create_bootstrap(
             bootstrap.Parts(
                 self.membership, self.directory, None, None, (), rng
@@ -143,6 +154,13 @@
     def subscribe(self, kind, handler):
         self._handlers[kind] = handler
 
+    def _on_claim(self, name):
+        roster = self.membership.roster
+        if self._fleet.announced is None:
+            roster.doubt(name)
+        else:
+            roster.settle(name, self._fleet.announced.get(name))
+
     def run_due(self):
         """Takes what has arrived and runs the timers."""
         inbox, self.inbox = self.inbox, []
@@ -158,10 +176,23 @@
         return {record.name for record in self.directory.all()}
 
 
+@functools.cache
+def create_signer(name, incarnation=1):
+    """Returns the signer of one start of a daemon."""
+    seed = hashlib.sha256(f"{name}-{incarnation}".encode()).digest()
+    return signing.create_signer(seed)
+
+
+def sign(record):
+    """Returns a record as its daemon signs it."""
+    return create_signer(record.name, record.incarnation).sign(record)
+
+
+@functools.cache
 def create_record(name, data_centre="east", incarnation=1):
     """Returns a record as a daemon announces it."""
     host = f"127.0.{sum(name.encode()) % 250}.1"
-    return members.Record(
+    record = members.Record(
         name=name,
         incarnation=incarnation,
         data_centre=data_centre,
@@ -171,6 +202,7 @@
         admin_address=f"{host}:7003",
         public_key=f"{name}-{incarnation}".ljust(40, "k"),
     )
+    return sign(record)
 
 
 def create_fleet(count: int, centres=("east",), **options) -> Fleet:
--- a/tests/integration/test_hostile_peers.py
+++ b/tests/integration/test_hostile_peers.py
@@ -14,6 +14,7 @@
 
 from savorybend.internal import joining
 from savorybend.internal import members
+from savorybend.internal import signing
 from savorybend.internal.wire import calls
 from savorybend.internal.wire import codec
 from savorybend.internal.wire import links
@@ -66,6 +67,11 @@
     def __init__(self, site):
         super().__init__(site, *zmq.curve_keypair())
         self._incarnations = itertools.count(1)
+        self._signer = signing.create_signer()
+
+    def sign(self, record):
+        """Returns a record with this member's key and signature."""
+        return self._signer.sign(record)
 
     async def send(self, *messages, **options):
         # It answers no probes, so it joins anew before it is taken for dead.
@@ -73,6 +79,7 @@
         record = members.Record(
             "mallory", next(self._incarnations), *fields, self._public.decode()
         )
+        record = self.sign(record)
         visitor = joining.create_visitor(sites.FLEET_SECRET, self._site.session)
         admin = self._site.addresses["back-1"].admin
         await visitor.join(admin, membership.JoinRequest(record, True, []))
@@ -166,6 +173,37 @@
         await mallory.send(b"x", routing_id=b"front-1")
 
 
+# Each row: what is forged of another's record, and the cause that is counted.
+_TAKEN = (
+    ("a revision", {"revision": 99}, "forged-record"),
+    ("a later start", {"incarnation": 1 << 50}, "claimed-name"),
+)
+
+
+@pytest.mark.parametrize("row", _TAKEN, ids=[row[0] for row in _TAKEN])
+async def test_a_member_can_not_take_anothers_name(
+    chain, mallory, maruyama, row
+):
+    _, fields, cause = row
+    address = chain.addresses["front-1"].call
+    held = await _shown(chain, "front-1")
+    public, _ = zmq.curve_keypair()
+    fields = {**held, "public_key": public.decode(), **fields}
+    forged = mallory.sign(members.Record(**fields))
+    news = [membership.Update(forged, "alive")]
+    standing = membership.Standing(0, 0.0)
+    async with _counted(chain, maruyama, cause):
+        await mallory.send(codec.encode(membership.Gossip(news, standing)))
+    assert await _shown(chain, "front-1") == held
+    assert (await maruyama.call(address, "/front/x")).outcome == "ran"
+
+
+async def _shown(site, name):
+    """Returns a daemon's record as another one has it."""
+    rows = await site.ask("back-1", "daemons")
+    return next(row for row in rows if row["name"] == name)
+
+
 async def test_a_member_can_not_answer_anothers_calls(chain, mallory, maruyama):
     await chain.control("front-1", slow=200)
     address = chain.addresses["back-1"].call
--- a/tests/integration/test_outages.py
+++ b/tests/integration/test_outages.py
@@ -155,6 +155,33 @@
         assert await fleets.until(fleets.agree(site))
 
 
+async def test_a_killed_daemon_starts_again_without_the_platform():
+    names = [f"back-{n}" for n in range(3)]
+    workers = [sites.Worker(name, "east", "back") for name in names]
+    async with sites.create_site() as site:
+        await site.add(workers[:1])
+        seed = site.addresses["back-0"].admin
+        await _start(site, workers[1:], SEEDS=seed)
+        await site.control_platform("down")
+        site.kill("back-2")
+        await site.wait_ended("back-2")
+        # The others still take the one that was killed for living.
+        await site.start_daemon("back-2")
+        await site.wait_listening("back-2")
+        own = {r["name"]: r for r in await site.ask("back-2", "daemons")}
+        for name in names:
+            assert await fleets.until(
+                lambda name=name: _has(site, name, own["back-2"])
+            )
+        assert await fleets.until(fleets.agree(site))
+
+
+async def _has(site, name, record):
+    return record["public_key"] in {
+        found["public_key"] for found in await site.ask(name, "daemons")
+    }
+
+
 async def test_a_daemon_that_was_replaced_while_frozen_shuts_down():
     names = ["back-0", "back-1"]
     workers = [sites.Worker(name, "east", "back") for name in names]
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -3,6 +3,9 @@
 import itertools
 
 import hypothesis
+import msgspec
+import prometheus_client
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -19,9 +22,9 @@
 
 def _update(name, incarnation, revision, state):
     record = fakes.create_record(name, incarnation=incarnation)
-    values = {n: getattr(record, n) for n in record.__struct_fields__}
-    values["revision"] = revision
-    return wire.Update(members.Record(**values), state)
+    told = members.LEFT if state == rosters.LEFT else members.SERVING
+    record = msgspec.structs.replace(record, revision=revision, state=told)
+    return wire.Update(fakes.sign(record), state)
 
 
 _UPDATES = strategies.lists(
@@ -38,7 +41,9 @@
 
 def _create_roster(updates):
     directory = members.create_directory(fakes.create_record("own"))
-    roster = rosters.create_roster(directory, fakes.create_clock())
+    roster = rosters.create_roster(
+        directory, fakes.create_clock(), fakes.create_signer("own")
+    )
     for update in updates:
         roster.take(update)
     return roster
@@ -46,8 +51,12 @@
 
 def _settle(roster):
     """Lets every suspicion end, since nobody speaks up here."""
-    for entry in roster.in_state("suspect"):
-        roster.expire(entry.record.name)
+    for name in ("a", "b", "c"):
+        # As without the platform, which would tell who holds the name.
+        roster.doubt(name)
+    while suspected := roster.in_state("suspect"):
+        for entry in suspected:
+            roster.expire(entry.record.name)
     return roster
 
 
@@ -88,7 +97,8 @@
 def test_a_daemon_whose_name_was_started_anew_learns_of_it():
     fleet = fakes.create_fleet(3)
     old = fleet.members["m0"]
-    fleet.add("m0", incarnation=2)
+    new = fleet.add("m0", incarnation=2)
+    fleet.announced = {"m0": new.directory.own}
     fleet.join("m0", "m1")
     seen = []
     old.membership.roster.subscribe_replaced(lambda: seen.append(True))
@@ -97,6 +107,124 @@
     assert seen
 
 
+def _forge(base, **fields):
+    """Returns a record of a daemon's name with somebody else's signature."""
+    return fakes.create_signer("mallory").sign(
+        msgspec.structs.replace(base, **fields)
+    )
+
+
+_HELD = fakes.sign(
+    msgspec.structs.replace(fakes.create_record("a", incarnation=5), revision=3)
+)
+_MALLORY = fakes.create_record("mallory")
+# Each row: what is wrong, the news, and the cause that is counted.
+_FORGED = (
+    (
+        "unsigned",
+        msgspec.structs.replace(_HELD, revision=4, signature=b""),
+        "alive",
+        "forged-record",
+    ),
+    (
+        "altered",
+        msgspec.structs.replace(_HELD, revision=4),
+        "alive",
+        "forged-record",
+    ),
+    ("another key", _forge(_HELD, revision=4), "alive", "forged-record"),
+    ("a later start", _forge(_HELD, incarnation=6), "alive", "claimed-name"),
+    ("a later death", _forge(_HELD, incarnation=6), "dead", "claimed-name"),
+    ("a departure", _HELD, "left", "forged-record"),
+    (
+        "a departure by another",
+        _forge(_HELD, revision=4, state=members.LEFT),
+        "left",
+        "forged-record",
+    ),
+    (
+        "another's connections",
+        fakes.sign(
+            msgspec.structs.replace(_MALLORY, public_key=_HELD.public_key)
+        ),
+        "alive",
+        "forged-record",
+    ),
+    (
+        "oversized",
+        fakes.sign(
+            msgspec.structs.replace(_HELD, revision=4, service="x" * 4096)
+        ),
+        "alive",
+        "forged-record",
+    ),
+    (
+        "replayed",
+        fakes.create_record("a", incarnation=5),
+        "alive",
+        "old-record",
+    ),
+)
+
+
+def _refused(cause):
+    return (
+        prometheus_client.REGISTRY.get_sample_value(
+            "savorybend_peer_refusals_total", {"cause": cause}
+        )
+        or 0.0
+    )
+
+
+@pytest.mark.parametrize("row", _FORGED, ids=[row[0] for row in _FORGED])
+def test_a_name_is_its_holders_while_that_one_lives(row):
+    _, record, state, cause = row
+    roster = _create_roster([wire.Update(_HELD, "alive")])
+    roster.subscribe_claims(lambda name: roster.settle(name, _HELD))
+    before = _refused(cause)
+    assert not roster.take(wire.Update(record, state))
+    assert roster.get("a").record == _HELD
+    assert roster.get("a").state == "alive"
+    assert roster._directory.name_of_key(_HELD.public_key) == "a"
+    assert _refused(cause) == before + 1
+
+
+# Each row: the record of its name that another key signed.
+_OF_OWN = ({"revision": 99}, {"incarnation": 99})
+
+
+@pytest.mark.parametrize("fields", _OF_OWN, ids=["revision", "incarnation"])
+def test_a_forged_record_ends_no_daemon(fields):
+    fleet = fakes.create_fleet(3)
+    own = fleet.members["m0"].directory.own
+    fleet.announced = {"m0": own}
+    seen = []
+    roster = fleet.members["m0"].membership.roster
+    roster.subscribe_replaced(lambda: seen.append(True))
+    fleet.members["m0"].membership.take(
+        [wire.Update(_forge(own, **fields), "alive")]
+    )
+    assert not seen
+    assert roster.own == own
+
+
+def test_without_the_platform_a_name_is_its_holders_while_it_speaks_up():
+    fleet = fakes.create_fleet(6)
+    own = fleet.members["m0"].directory.own
+    claim = wire.Update(_forge(own, incarnation=2), "alive")
+    fleet.members["m1"].membership.take([claim])
+    fleet.advance(10)
+    views = [m.directory.get("m0") for m in fleet.members.values()]
+    assert {view.signing_key for view in views} == {own.signing_key}
+    new = fleet.add("m0", incarnation=3)
+    fleet.join("m0", "m1")
+    fleet.advance(10)
+    views = [m.directory.get("m0") for m in fleet.members.values()]
+    assert {view.signing_key for view in views} == {
+        new.directory.own.signing_key
+    }
+
+
 def _disagree(fleet):
     return [m for m in fleet.members.values() if m.sees() != set(fleet.members)]
 
