Say once how schedules cut and heal, and how a site is started

Cause: the schedules of test_membership.py and test_configuration_spread.py shared their rules for pauses, cuts and healing and the walk that brings members together again; test_leaving.py said four times how a site is started and five times what back-0 ran, and test_outages.py had the same start.

--- a/tests/integration/fleets.py
+++ b/tests/integration/fleets.py
@@ -31,6 +31,14 @@
     return int(output.split("version ")[1].split()[0])
 
 
+async def start(site, workers, **options):
+    """Starts workers with a configuration; they all know one another."""
+    await site.add(workers, **options)
+    await submit(site)
+    await site.wait_ready()
+    assert await until(agree(site))
+
+
 async def versions(site, names):
     """Returns the version in force at each daemon."""
     pages = await asyncio.gather(*(site.ask(n, "status") for n in names))
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -1,6 +1,7 @@
 """Drains and graceful shutdowns lose nothing and bring no new work."""
 
 import asyncio
+import contextlib
 import itertools
 
 import aiohttp
@@ -59,11 +60,15 @@
         self.lost.append(result)
 
 
-async def _start(site, workers, **options):
-    await site.add(workers, **options)
-    await fleets.submit(site)
-    await site.wait_ready()
-    assert await fleets.until(fleets.agree(site))
+@contextlib.asynccontextmanager
+async def _running(workers):
+    """Yields a site that runs, and a session for its callers."""
+    async with (
+        sites.create_site() as site,
+        aiohttp.ClientSession() as session,
+    ):
+        await fleets.start(site, workers)
+        yield site, session
 
 
 def _workers(count, work_ms=20.0):
@@ -76,11 +81,7 @@
 async def test_a_site_replaced_one_by_one_under_load_loses_nothing():
     workers = _workers(4)
     names = [worker.name for worker in workers]
-    async with (
-        sites.create_site() as site,
-        aiohttp.ClientSession() as session,
-    ):
-        await _start(site, workers)
+    async with _running(workers) as (site, session):
         async with Load(site, session, "/back", names) as load:
             for name in names:
                 site.terminate(name)
@@ -96,18 +97,13 @@
 async def test_a_drained_backend_server_gets_no_new_work():
     workers = _workers(3)
     names = [worker.name for worker in workers]
-    async with (
-        sites.create_site() as site,
-        aiohttp.ClientSession() as session,
-    ):
-        await _start(site, workers)
+    async with _running(workers) as (site, session):
         async with Load(site, session, "/back", names) as load:
             await site.control("back-0", drain=True)
             await asyncio.sleep(_DRAINED_S)
-            before = len((await site.record("back-0"))["runs"])
+            before = await _runs(site)
             await asyncio.sleep(1)
-            after = await site.record("back-0")
-            assert len(after["runs"]) == before
+            assert await _runs(site) == before
             for name in names:
                 records = await site.ask(name, "daemons")
                 states = {r["name"]: r["state"] for r in records}
@@ -118,36 +114,31 @@
         assert load.lost == []
 
 
+async def _runs(site):
+    return len((await site.record("back-0"))["runs"])
+
+
 async def _has_run(site, before):
-    return len((await site.record("back-0"))["runs"]) > before
+    return await _runs(site) > before
 
 
 async def test_a_stale_peer_brings_no_work_to_a_drained_one():
     workers = [*_workers(2), sites.Worker("front-0", "east", "front")]
-    async with (
-        sites.create_site() as site,
-        aiohttp.ClientSession() as session,
-    ):
-        await _start(site, workers)
+    async with _running(workers) as (site, session):
         # This one sleeps through the news and wakes up with work at hand.
         site.freeze("front-0")
         await site.control("back-0", drain=True)
         await asyncio.sleep(_DRAINED_S)
-        before = len((await site.record("back-0"))["runs"])
+        before = await _runs(site)
         site.resume("front-0")
         async with Load(site, session, "/back", ["front-0"]) as load:
             await asyncio.sleep(1)
-        after = await site.record("back-0")
-        assert len(after["runs"]) == before
+        assert await _runs(site) == before
         assert load.lost == []
 
 
 async def test_a_leaving_daemon_sends_new_callers_elsewhere():
-    async with (
-        sites.create_site() as site,
-        aiohttp.ClientSession() as session,
-    ):
-        await _start(site, _workers(2, work_ms=4000))
+    async with _running(_workers(2, work_ms=4000)) as (site, session):
         person = caller.Caller(session, documents.MARUYAMA.text)
         address = site.addresses["back-0"].call
         slow = asyncio.create_task(person.call(address, "/back"))
--- a/tests/integration/test_outages.py
+++ b/tests/integration/test_outages.py
@@ -17,13 +17,6 @@
 pytestmark = pytest.mark.asyncio
 
 
-async def _start(site, workers, **options):
-    await site.add(workers, **options)
-    await fleets.submit(site)
-    await site.wait_ready()
-    assert await fleets.until(fleets.agree(site))
-
-
 async def _replace(site, old, new, seed):
     """Replaces a VM by one of another name, at other addresses."""
     site.kill(old)
@@ -43,7 +36,7 @@
         # The seeds are the first daemon's address, which is known already.
         await site.add(workers[:1])
         seed = site.addresses["back-0"].admin
-        await _start(site, workers[1:], SEEDS=seed)
+        await fleets.start(site, workers[1:], SEEDS=seed)
         await site.control_platform("down")
         person = caller.Caller(session, documents.MARUYAMA.text)
         for number in range(2, 5):
@@ -78,7 +71,7 @@
 
 async def test_a_stranger_without_the_secret_is_not_let_in():
     async with sites.create_site() as site:
-        await _start(site, [sites.Worker("back-0", "east", "back")])
+        await fleets.start(site, [sites.Worker("back-0", "east", "back")])
         seed = site.addresses["back-0"].admin
         await site.add(
             [sites.Worker("stranger", "east", "back")],
@@ -97,7 +90,7 @@
 
 async def test_a_recorded_introduction_is_no_use():
     async with sites.create_site() as site:
-        await _start(site, [sites.Worker("back-0", "east", "back")])
+        await fleets.start(site, [sites.Worker("back-0", "east", "back")])
         url = f"http://{site.addresses['back-0'].admin}/join"
         async with site.session.get(url) as answer:
             nonce = answer.headers["Savorybend-Nonce"]
@@ -123,7 +116,7 @@
         sites.create_site() as site,
         aiohttp.ClientSession() as session,
     ):
-        await _start(site, workers, proxied=True)
+        await fleets.start(site, workers, proxied=True)
         person = caller.Caller(session, documents.MARUYAMA.text)
         for name in names:
             site.cut(name)
@@ -146,7 +139,7 @@
     names = [f"back-{n}" for n in range(4)]
     workers = [sites.Worker(name, "east", "back") for name in names]
     async with sites.create_site() as site:
-        await _start(site, workers)
+        await fleets.start(site, workers)
         site.kill("back-3")
         await site.wait_ended("back-3")
         assert await fleets.until(fleets.agree(site, names[:3]))
@@ -161,7 +154,7 @@
     async with sites.create_site() as site:
         await site.add(workers[:1])
         seed = site.addresses["back-0"].admin
-        await _start(site, workers[1:], SEEDS=seed)
+        await fleets.start(site, workers[1:], SEEDS=seed)
         await site.control_platform("down")
         site.kill("back-2")
         await site.wait_ended("back-2")
@@ -186,7 +179,7 @@
     names = ["back-0", "back-1"]
     workers = [sites.Worker(name, "east", "back") for name in names]
     async with sites.create_site() as site:
-        await _start(site, workers)
+        await fleets.start(site, workers)
         site.freeze("back-0")
         twin = sites.Worker("twin", "east", "back")
         await site.add([twin], NAME="back-0")
--- a/tests/unit/test_configuration_spread.py
+++ b/tests/unit/test_configuration_spread.py
@@ -15,6 +15,7 @@
 from savorybend.internal.wire import membership as membership_wire
 from tests import documents
 from tests import fakes
+from tests import schedules
 
 _TARGET_S = 3.0
 
@@ -123,7 +124,7 @@
 
 
 @hypothesis.settings(max_examples=80, stateful_step_count=30)
-class Schedules(stateful.RuleBasedStateMachine):
+class Schedules(schedules.Faults):
     """Changes under cuts, pauses and restarts; no version ever falls."""
 
     names = strategies.sampled_from([f"m{n}" for n in range(5)])
@@ -145,19 +146,6 @@
         store = self.fleet.members[name].store
         store.offer(max(1, self.version - behind), _TEXT)
 
-    @stateful.rule(name=names)
-    def freeze(self, name):
-        self.fleet.frozen.add(name)
-
-    @stateful.rule(one=names, other=names)
-    def cut(self, one, other):
-        self.fleet.part([one], [other])
-
-    @stateful.rule()
-    def heal(self):
-        self.fleet.frozen.clear()
-        self.fleet.cut.clear()
-
     @stateful.rule(steps=strategies.integers(1, 20))
     def pass_time(self, steps):
         for _ in range(steps):
@@ -173,10 +161,7 @@
 
     def teardown(self):
         self.heal()
-        for one in self.fleet.members:
-            for other in self.fleet.members:
-                if other not in self.fleet.members[one].sees():
-                    self.fleet.join(one, other)
+        self.rejoin()
         self.fleet.advance(_TARGET_S, 0.1)
         assert _versions(self.fleet) == {self.version}
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -15,6 +15,7 @@
 from savorybend.internal import signatures
 from savorybend.internal.wire import membership as wire
 from tests import fakes
+from tests import schedules
 
 _STATES = strategies.sampled_from(["alive", "suspect", "dead", "left"])
 _NAMES = strategies.sampled_from(["a", "b", "c"])
@@ -336,7 +337,7 @@
 
 
 @hypothesis.settings(max_examples=40, stateful_step_count=15)
-class Schedules(stateful.RuleBasedStateMachine):
+class Schedules(schedules.Faults):
     """Cuts, pauses, drains and restarts; in the end all agree."""
 
     def __init__(self):
@@ -350,19 +351,6 @@
     def pass_time(self, seconds):
         self.fleet.advance(seconds, 0.1)
 
-    @stateful.rule(name=names)
-    def freeze(self, name):
-        self.fleet.frozen.add(name)
-
-    @stateful.rule(one=names, other=names)
-    def cut(self, one, other):
-        self.fleet.part([one], [other])
-
-    @stateful.rule()
-    def heal(self):
-        self.fleet.frozen.clear()
-        self.fleet.cut.clear()
-
     @stateful.rule(name=names, state=strategies.sampled_from("sd"))
     def change(self, name, state):
         wanted = members.SERVING if state == "s" else members.DRAINING
@@ -378,10 +366,7 @@
         self.heal()
         for _ in range(2):
             self.fleet.advance(6, 0.1)
-            for name in self.fleet.members:
-                for other in self.fleet.members:
-                    if other not in self.fleet.members[name].sees():
-                        self.fleet.join(name, other)
+            self.rejoin()
         self.fleet.advance(12, 0.1)
         views = [
             {r.name: r for r in m.directory.all()}
