Remove the platform's objects of daemons that died for good

Ruled out: deletion at the death (a data centre that is cut off would lose its objects, by which its daemons keep their names and are found); an operator's command; one daemon alone (its pause is the object's). A deletion takes the version read as its condition, so a later start's object stays; a daemon that leaves removes its own in the same way, which was not fenced before.

--- a/src/savorybend/internal/announcing.py
+++ b/src/savorybend/internal/announcing.py
@@ -49,16 +49,29 @@
                 await asyncio.sleep(self._backoff.fail())
 
     async def withdraw(self) -> None:
-        """Removes the object, unless a later start has taken it over."""
-        own = self._directory.own
+        """Removes this daemon's object, if the platform answers."""
         try:
-            found = await self._store.get(platform.DAEMON_KIND, own.name)
-            record = decode(found) if found else None
-            if record is not None and record.incarnation == own.incarnation:
-                await self._store.delete(platform.DAEMON_KIND, own.name)
+            await self.remove(self._directory.own)
         except errors.PlatformUnavailableError as error:
             _log.warning("announcement_left_behind", error=str(error))
 
+    async def remove(self, record: members.Record) -> None:
+        """Removes the object of one start of a daemon, but no later start's.
+
+        Raises:
+            errors.PlatformUnavailableError: There was no usable answer.
+        """
+        kind = platform.DAEMON_KIND
+        found = await self._store.get(kind, record.name)
+        known = decode(found) if found else None
+        if known is None or known.incarnation != record.incarnation:
+            return
+        try:
+            await self._store.delete(kind, record.name, found.version)
+        except errors.ConflictError:
+            # A later start has announced itself in the meantime.
+            return
+
     async def _write(self) -> None:
         own = self._directory.own
         kind = platform.DAEMON_KIND
--- a/src/savorybend/internal/fleet.py
+++ b/src/savorybend/internal/fleet.py
@@ -21,6 +21,7 @@
 from savorybend.internal import settings as settings_module
 from savorybend.internal import signing
 from savorybend.internal import succession
+from savorybend.internal import sweeping
 from savorybend.internal import timers
 
 # Lets the last messages out before the connections close.
@@ -69,6 +70,12 @@
         self._succession = succession.create_succession(
             self._membership.roster, parts.store, parts.rng
         )
+        self._sweeper = sweeping.create_sweeper(
+            self._membership.roster,
+            parts.directory,
+            self._announcer,
+            parts.rng,
+        )
         self._watcher = configwatch.create_watcher(
             configwatch.Parts(
                 parts.configuration,
@@ -96,6 +103,7 @@
         return [
             self._bootstrap.run(),
             self._succession.run(),
+            self._sweeper.run(),
             self._watcher.run(),
         ]
 
--- a/src/savorybend/internal/platform.py
+++ b/src/savorybend/internal/platform.py
@@ -111,13 +111,29 @@
         _expect(status, "put", 200)
         return _decode(body, _Written).version
 
-    async def delete(self, kind: str, name: str) -> None:
+    async def delete(
+        self, kind: str, name: str, expected: int | None = None
+    ) -> None:
         """Deletes an object; one that is not there is no error.
 
+        Args:
+            kind: The object's kind.
+            name: The object's name.
+            expected: The version last read, or None to delete any.
+
         Raises:
+            errors.ConflictError: The object has another version.
             errors.PlatformUnavailableError: There was no usable answer.
         """
-        status, _ = await self._ask("delete", "DELETE", f"{kind}/{name}")
+        headers = None if expected is None else _condition(expected)
+        status, _ = await self._ask(
+            "delete", "DELETE", f"{kind}/{name}", headers=headers
+        )
+        if status == 412:
+            raise errors.ConflictError(
+                f"{kind}/{name} is no longer at version {expected}: read it "
+                "again and decide anew"
+            )
         _expect(status, "delete", 200, 404)
 
     async def list(self, kind: str) -> Listing:
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -57,6 +57,7 @@
 
 Listener = collections.abc.Callable[[wire.Update], None]
 ClaimListener = collections.abc.Callable[[str], None]
+RecordListener = collections.abc.Callable[[members.Record], None]
 
 
 class Roster:
@@ -80,6 +81,7 @@
         self._listeners: list[Listener] = []
         self._claim_listeners: list[ClaimListener] = []
         self._replaced_listeners: list[collections.abc.Callable[[], None]] = []
+        self._forgotten_listeners: list[RecordListener] = []
         self._leaving = False
         own = Entry(directory.own, ALIVE, clock.now_s())
         self._insert(own)
@@ -108,6 +110,10 @@
         """Calls `listener` with a name that another key claims."""
         self._claim_listeners.append(listener)
 
+    def subscribe_forgotten(self, listener: RecordListener) -> None:
+        """Calls `listener` with a dead daemon's record when it is forgotten."""
+        self._forgotten_listeners.append(listener)
+
     def get(self, name: str) -> Entry | None:
         """Returns what is known of a daemon."""
         return self._entries.get(name)
@@ -245,6 +251,12 @@
                 self._toggle(entry)
                 del self._entries[name]
                 self._below[signatures.leaf_of(name)].remove(entry)
+                self._tell_forgotten(entry)
+
+    def _tell_forgotten(self, entry: Entry) -> None:
+        if entry.state == DEAD:
+            for listener in self._forgotten_listeners:
+                listener(entry.record)
 
     def _take_own(self, update: wire.Update) -> bool:
         own = self.own
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -158,9 +158,12 @@
 
 def _deleter(store):
     async def handle(request):
-        there = await store.delete(
-            request.match_info["kind"], request.match_info["name"]
-        )
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        found = store.get(kind, name)
+        expected = request.headers.get("If-Match", "").strip('"')
+        if found and expected and int(expected) != found[0]:
+            return web.Response(status=412)
+        there = await store.delete(kind, name)
         return web.Response(status=200 if there else 404)
 
     return handle
--- a/tests/integration/test_platform_contract.py
+++ b/tests/integration/test_platform_contract.py
@@ -57,6 +57,17 @@
         assert (await client.get(_KIND, "a")).value == "2"
 
 
+async def test_a_deletion_may_need_the_version_that_is_there():
+    async with _client() as (client, _):
+        first = await client.put(_KIND, "a", "1", platform.ABSENT)
+        second = await client.put(_KIND, "a", "2", first)
+        with pytest.raises(errors.ConflictError):
+            await client.delete(_KIND, "a", first)
+        assert (await client.get(_KIND, "a")).value == "2"
+        await client.delete(_KIND, "a", second)
+        assert await client.get(_KIND, "a") is platform.NO_OBJECT
+
+
 async def test_a_watch_tells_of_changes_and_deletions():
     async with _client() as (client, _):
         await client.put(_KIND, "a", "1", platform.ABSENT)
