--- a/src/savorybend/internal/announcing.py
+++ b/src/savorybend/internal/announcing.py
@@ -49,21 +49,34 @@
                 await asyncio.sleep(self._backoff.fail())
 
     async def withdraw(self) -> None:
-        """Removes the object, unless a later start has taken it over."""
-        own = self._directory.own
+        """Removes this daemon's object, if the platform answers."""
         try:
-            found = await self._store.get(platform.DAEMON_KIND, own.name)
-            record = _decode(found) if found else None
-            if record is not None and record.incarnation == own.incarnation:
-                await self._store.delete(platform.DAEMON_KIND, own.name)
+            await self.remove(self._directory.own)
         except errors.PlatformUnavailableError as error:
             _log.warning("announcement_left_behind", error=str(error))
 
+    async def remove(self, record: members.Record) -> None:
+        """Removes the object of one start of a daemon, but no later start's.
+
+        Raises:
+            errors.PlatformUnavailableError: There was no usable answer.
+        """
+        kind = platform.DAEMON_KIND
+        found = await self._store.get(kind, record.name)
+        known = decode(found) if found else None
+        if known is None or known.incarnation != record.incarnation:
+            return
+        try:
+            await self._store.delete(kind, record.name, found.version)
+        except errors.ConflictError:
+            # A later start has announced itself in the meantime.
+            return
+
     async def _write(self) -> None:
         own = self._directory.own
         kind = platform.DAEMON_KIND
         found = await self._store.get(kind, own.name)
-        known = _decode(found) if found else None
+        known = decode(found) if found else None
         if known is not None and known.incarnation >= own.incarnation:
             # A lost reply, or a later start of this name.
             return
@@ -74,11 +87,12 @@
     async def _list(self) -> list[members.Record]:
         listing = await self._store.list(platform.DAEMON_KIND)
         own = self._directory.own.name
-        found = (_decode(item) for item in listing.objects)
+        found = (decode(item) for item in listing.objects)
         return [r for r in found if r is not None and r.name != own]
 
 
-def _decode(found: platform.Object) -> members.Record | None:
+def decode(found: platform.Object) -> members.Record | None:
+    """Returns the record in a daemon's object, or None if there is none."""
     try:
         return msgspec.json.decode(found.value, type=members.Record)
     except msgspec.MsgspecError as error:
--- a/tests/unit/test_configuration_spread.py
+++ b/tests/unit/test_configuration_spread.py
@@ -1,25 +1,34 @@
 """A configuration reaches every daemon, whole, and never reverts."""
 
 import math
+import random
+import zlib
 
 import hypothesis
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies
 
+from savorybend.internal import configspread
 from savorybend.internal import configstore
 from savorybend.internal.wire import configuration as wire
 from savorybend.internal.wire import membership as membership_wire
 from tests import documents
 from tests import fakes
+from tests import schedules
 
 _TARGET_S = 3.0
 
 
-def _create_text(padding=0):
+def _create_text(accounts=0):
     site = documents.create_site()
-    for number in range(padding):
-        site.add_client_account(f"a-{number}", rate_per_s=1.0, burst=1.0)
+    rng = random.Random(accounts)
+    for number in range(accounts):
+        name = f"a-{number}"
+        # Salts and hashes don't compress, so that these take several parts.
+        salt, digest = rng.randbytes(16).hex(), rng.randbytes(32).hex()
+        site.add_client_account(name, rate_per_s=1.0, burst=1.0)
+        site.add_key(name, f"{name}-key", salt=salt, hash=digest)
     return site.to_json().encode()
 
 
@@ -30,11 +39,18 @@
     return {m.store.version for m in fleet.members.values()}
 
 
-@pytest.mark.parametrize("padding", [0, 9000], ids=["small", "many parts"])
-def test_one_watcher_is_enough_for_the_fleet(padding):
+# Each row: how many client accounts, and the fewest parts they come in.
+_SIZES = ((0, 1), (2500, 3))
+
+
+@pytest.mark.parametrize("row", _SIZES, ids=["small", "many parts"])
+def test_one_watcher_is_enough_for_the_fleet(row):
+    accounts, fewest_parts = row
     fleet = fakes.create_fleet(60, ("east", "west", "north"))
     fleet.advance(5)
-    text = _create_text(padding)
+    text = _create_text(accounts)
+    packed = len(zlib.compress(text))
+    assert math.ceil(packed / configspread.PART_BYTES) >= fewest_parts
     fleet.members["m0"].store.offer(7, text)
     fleet.advance(_TARGET_S)
     assert _versions(fleet) == {7}
@@ -108,7 +124,7 @@
 
 
 @hypothesis.settings(max_examples=80, stateful_step_count=30)
-class Schedules(stateful.RuleBasedStateMachine):
+class Schedules(schedules.Faults):
     """Changes under cuts, pauses and restarts; no version ever falls."""
 
     names = strategies.sampled_from([f"m{n}" for n in range(5)])
@@ -130,19 +146,6 @@
         store = self.fleet.members[name].store
         store.offer(max(1, self.version - behind), _TEXT)
 
-    @stateful.rule(name=names)
-    def freeze(self, name):
-        self.fleet.frozen.add(name)
-
-    @stateful.rule(one=names, other=names)
-    def cut(self, one, other):
-        self.fleet.part([one], [other])
-
-    @stateful.rule()
-    def heal(self):
-        self.fleet.frozen.clear()
-        self.fleet.cut.clear()
-
     @stateful.rule(steps=strategies.integers(1, 20))
     def pass_time(self, steps):
         for _ in range(steps):
@@ -158,10 +161,7 @@
 
     def teardown(self):
         self.heal()
-        for one in self.fleet.members:
-            for other in self.fleet.members:
-                if other not in self.fleet.members[one].sees():
-                    self.fleet.join(one, other)
+        self.rejoin()
         self.fleet.advance(_TARGET_S, 0.1)
         assert _versions(self.fleet) == {self.version}
 
