--- a/bench/latency.py
+++ b/bench/latency.py
@@ -9,31 +9,18 @@
 import pathlib
 import resource
 import time
-import typing
 
 import aiohttp
 
+from bench import pair
 from savorybend.internal.ctl import tables
-from standins import site as sites
-from tests import documents
 
 _ROUNDS = 20
 _THROUGHPUT_S = 3.0
 _CONCURRENCY = 32
 
-_KEY = {"Authorization": f"Bearer {documents.MARUYAMA.text}"}
-_DIRECT = {"Savorybend-Request-Id": "bench"}
 
-
-class Way(typing.NamedTuple):
-    """A way that a call takes."""
-
-    name: str
-    url: str
-    headers: dict[str, str]
-
-
-async def time_once(session: aiohttp.ClientSession, way: Way) -> float:
+async def time_once(session: aiohttp.ClientSession, way: pair.Way) -> float:
     """Returns how long one call took, in seconds."""
     started = time.perf_counter()
     async with session.get(way.url, headers=way.headers) as answer:
@@ -80,35 +67,12 @@
 
 
 async def _run(calls: int) -> list[dict]:
-    async with sites.create_site() as site:
-        # The backend server's own time is as short as it can be, so that the
-        # added time stands out.
-        await site.add(
-            [
-                sites.Worker("back-1", "east", "back", 64, 0.0),
-                sites.Worker("front-1", "east", "front", 64, 0.0),
-            ],
-            LOG_LEVEL="warning",
-        )
-        document = documents.create_site().to_json().encode()
-        code, output = await site.ctl("config", "submit", "-", stdin=document)
-        if code:
-            raise SystemExit(output)
-        await site.wait_ready()
-        ways = _ways(site)
+    async with pair.create_site() as site:
+        ways = pair.ways(site)
         await _latencies(site.session, ways, _ROUNDS * 5)
         return await _measure(site, ways, calls)
 
 
-def _ways(site) -> list[Way]:
-    back, front = site.addresses["back-1"], site.addresses["front-1"]
-    return [
-        Way("direct", f"http://{back.backend}/back", _DIRECT),
-        Way("one daemon", f"http://{back.call}/back", _KEY),
-        Way("two daemons", f"http://{front.call}/back", _KEY),
-    ]
-
-
 async def _measure(site, ways, calls) -> list[dict]:
     latencies = await _latencies(site.session, ways, calls)
     direct = latencies["direct"]
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -14,17 +14,13 @@
 import aiohttp
 
 from bench import latency
+from bench import pair
 from savorybend.internal.ctl import tables
-from standins import site as sites
-from tests import documents
 
 _PHOTO_BYTES = 64 * 1024 * 1024
 _ROUNDS = 10
 _SETTLE_S = 0.2
 
-_KEY = {"Authorization": f"Bearer {documents.MARUYAMA.text}"}
-_DIRECT = {"Savorybend-Request-Id": "bench"}
-
 
 class _Load(typing.NamedTuple):
     """What goes on beside the small calls."""
@@ -68,12 +64,12 @@
 
 async def _measure(site, calls: int) -> list[dict]:
     front, back = site.addresses["front-1"], site.addresses["back-1"]
-    small = latency.Way("small", f"http://{front.call}/back", _KEY)
+    small = pair.Way("small", f"http://{front.call}/back", pair.KEY)
     photo = "/back/photos/x"
     loads = (
         _Load("none", "", {}),
-        _Load("photo, direct", f"http://{back.backend}{photo}", _DIRECT),
-        _Load("photo, beside them", f"http://{front.call}{photo}", _KEY),
+        _Load("photo, direct", f"http://{back.backend}{photo}", pair.DIRECT),
+        _Load("photo, beside them", f"http://{front.call}{photo}", pair.KEY),
     )
     found = {load.name: [] for load in loads}
     moved = dict.fromkeys(found, 0)
@@ -99,17 +95,7 @@
 
 
 async def _run(calls: int) -> list[dict]:
-    async with sites.create_site() as site:
-        workers = [
-            sites.Worker("back-1", "east", "back", 64, 0.0),
-            sites.Worker("front-1", "east", "front", 64, 0.0),
-        ]
-        await site.add(workers, LOG_LEVEL="warning")
-        document = documents.create_site().to_json().encode()
-        code, output = await site.ctl("config", "submit", "-", stdin=document)
-        if code:
-            raise SystemExit(output)
-        await site.wait_ready()
+    async with pair.create_site() as site:
         return await _measure(site, calls)
 
 
