--- a/src/savorybend/internal/journal.py
+++ b/src/savorybend/internal/journal.py
@@ -24,7 +24,9 @@
 _EVENT_BYTES = 160
 
 
-class Event(msgspec.Struct, frozen=True, array_like=True):
+# The collector needn't visit what can be part of no cycle, and the journal
+# holds most of a daemon's objects: a visit would hold up the calls in flight.
+class Event(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Something that happened to a request.
 
     Attributes:
@@ -40,7 +42,7 @@
     detail: str = ""
 
 
-class Entry(msgspec.Struct):
+class Entry(msgspec.Struct, gc=False):
     """A request's events at one daemon."""
 
     request_id: str
