Count messages and calls in flight without the library's locks

Cause: a call over two daemons changes four counters of messages and a gauge ten times; each takes 0.88 us in a loop of its own, through four functions and a lock (the inc() of prometheus_client), and several times that on the cold path of a single call. Ruled out: caching labels (done already); the histograms stay the library's, one observation a call and daemon. Change: plain numbers, shown by a collector and a function of the same library. 0.14 us a change. The series *_created of the two are gone.

--- a/src/savorybend/internal/metrics.py
+++ b/src/savorybend/internal/metrics.py
@@ -1,8 +1,10 @@
 """What a daemon shows of itself, for Prometheus."""
 
+import collections.abc
 import functools
 
 import prometheus_client
+from prometheus_client import metrics_core
 
 # Fine below the 1.2 ms that savorybend may add, coarse above.
 _LATENCY_BUCKETS_S = (
@@ -47,11 +49,6 @@
     "Calls made to the platform's object API.",
     ("operation",),
 )
-_PEER_MESSAGES = prometheus_client.Counter(
-    "savorybend_peer_messages",
-    "Messages exchanged with other daemons.",
-    ("direction",),
-)
 _PEER_REFUSALS = prometheus_client.Counter(
     "savorybend_peer_refusals",
     "Connections and messages of other daemons that were refused.",
@@ -107,7 +104,7 @@
 MEMBERS = prometheus_client.Gauge(
     "savorybend_members", "Daemons that this daemon knows, itself included."
 )
-IN_FLIGHT = prometheus_client.Gauge(
+_IN_FLIGHT = prometheus_client.Gauge(
     "savorybend_calls_in_flight", "Calls in flight at this daemon."
 )
 LIMIT_PARTS_ENTRUSTED = prometheus_client.Gauge(
@@ -127,16 +124,74 @@
     "Messages about limits that no connection took.",
 )
 
-_PEER_BYTES = prometheus_client.Counter(
-    "savorybend_peer_bytes",
-    "Bytes of messages exchanged with other daemons, before encryption.",
-    ("direction",),
-)
 
-SENT = _PEER_MESSAGES.labels("sent")
-RECEIVED = _PEER_MESSAGES.labels("received")
-SENT_BYTES = _PEER_BYTES.labels("sent")
-RECEIVED_BYTES = _PEER_BYTES.labels("received")
+class Tally:
+    """A number that changes several times a call.
+
+    The library's own metrics take a lock for each change, which one thread
+    does without.
+    """
+
+    __slots__ = ("_value",)
+
+    def __init__(self):
+        self._value = 0
+
+    @property
+    def value(self) -> int:
+        """The number."""
+        return self._value
+
+    def inc(self, amount: int = 1) -> None:
+        """Adds to the number."""
+        self._value += amount
+
+    def dec(self) -> None:
+        """Takes one off the number."""
+        self._value -= 1
+
+
+IN_FLIGHT = Tally()
+SENT = Tally()
+RECEIVED = Tally()
+SENT_BYTES = Tally()
+RECEIVED_BYTES = Tally()
+
+_IN_FLIGHT.set_function(lambda: IN_FLIGHT.value)
+
+
+class _PeerTraffic:
+    """Shows the tallies of what is exchanged with other daemons."""
+
+    def collect(self) -> collections.abc.Iterator[metrics_core.Metric]:
+        """Yields the metrics; the library calls it for each page."""
+        yield _by_direction(
+            "savorybend_peer_messages",
+            "Messages exchanged with other daemons.",
+            SENT,
+            RECEIVED,
+        )
+        yield _by_direction(
+            "savorybend_peer_bytes",
+            "Bytes of messages exchanged with other daemons, before "
+            "encryption.",
+            SENT_BYTES,
+            RECEIVED_BYTES,
+        )
+
+
+def _by_direction(
+    name: str, documentation: str, sent: Tally, received: Tally
+) -> metrics_core.Metric:
+    family = metrics_core.CounterMetricFamily(
+        name, documentation, labels=("direction",)
+    )
+    family.add_metric(("sent",), sent.value)
+    family.add_metric(("received",), received.value)
+    return family
+
+
+prometheus_client.REGISTRY.register(_PeerTraffic())
 
 
 @functools.cache
