Try an idempotent call elsewhere when its daemon is lost

Cause: a call that had been passed to another VM was answered `unknown` when that VM died, although its route says that it may be repeated. It was left out because the lost run may have started a child call that must not run twice. Ruled out: telling every daemon above before such a child starts (a round trip a hop, and new messages); repeating only calls known to have none; keeping one retry back where only one is left (a deep chain's failing end, which test_retries demands a second try for, would have none). Change: the router tries another daemon once. What a lost daemon was lent counts as spent, and one retry is kept back where there are two or more. Child calls that must not run twice, made by a call that may be repeated, are started by the daemon that issued the request's ID (children.py). The wire's call head has one more field, which older daemons leave out. Hops with a single retry left still give `unknown`.

--- a/src/savorybend/internal/callpath.py
+++ b/src/savorybend/internal/callpath.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from savorybend.internal import backendserver
+from savorybend.internal import children
 from savorybend.internal import choice
 from savorybend.internal import concurrency
 from savorybend.internal import configstore
@@ -107,6 +108,7 @@
             self._entry.in_flight
             + self._receiver.in_flight
             + self._guard.in_flight
+            + self._children.in_flight
             + self._records.running
             + self._gate.in_use
         )
@@ -165,6 +167,9 @@
         parts = self._parts
         forwarder = forwarding.create_forwarder(parts.transport, parts.timers)
         router = self._create_router(forwarder)
+        self._children = children.create_children(
+            parts.settings.name, parts.timers, router
+        )
         recovery = self._create_recovery()
         self._guard = self._create_guard(router, recovery)
         return dispatching.create_dispatcher(
@@ -172,6 +177,7 @@
                 directory=parts.directory,
                 issuer=self._issuer,
                 guard=self._guard,
+                children=self._children,
                 router=router,
                 forwarder=forwarder,
                 recovery=recovery,
@@ -221,6 +227,7 @@
                 journal=self._journal,
                 recovery=recovery,
                 admit=self._intake.spend,
+                children=self._children,
                 target=router,
             )
         )
@@ -235,6 +242,7 @@
                 intake=self._intake,
                 target=self._dispatcher,
                 guard=self._guard,
+                children=self._children,
                 handles=self._handles,
                 issuer=self._issuer,
                 journal=self._journal,
--- a/src/savorybend/internal/calls.py
+++ b/src/savorybend/internal/calls.py
@@ -27,6 +27,8 @@
         depth: Calls between it and the caller; 0 for the entering request.
         key_id: Names the key that the entering request came with; empty on a
             route open to all.
+        repeatable: Whether it must be started by the daemon that issued its
+            ID, since the call that made it may be run again and make it twice.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     retries: int
     depth: int
     key_id: str = ""
+    repeatable: bool = False
 
 
 class Answer(typing.NamedTuple):
--- a/src/savorybend/internal/dispatching.py
+++ b/src/savorybend/internal/dispatching.py
@@ -4,6 +4,7 @@
 
 from savorybend.internal import bodies
 from savorybend.internal import calls
+from savorybend.internal import children
 from savorybend.internal import departures
 from savorybend.internal import forwarding
 from savorybend.internal import guard
@@ -21,6 +22,7 @@
         directory: The known daemons.
         issuer: Issues this daemon's IDs.
         guard: Starts the IDs of this daemon.
+        children: Starts child calls of the requests that entered here.
         router: Runs calls that need no guard.
         forwarder: Passes calls to the issuers of their IDs.
         recovery: Fetches the answers of requests whose issuer is gone.
@@ -30,6 +32,7 @@
     directory: members.Directory
     issuer: issuing.Issuer
     guard: guard.Guard
+    children: children.Children
     router: calls.Target
     forwarder: forwarding.Forwarder
     recovery: recovering.Recovery
@@ -52,12 +55,13 @@
     ) -> calls.Answer:
         """Returns the call's answer."""
         # A child's ID was made for this one call on this daemon, so nobody
-        # else can start it.
-        if call.idempotent or call.depth > 0:
+        # else can start it, unless its parent is run again elsewhere.
+        own_child = call.depth > 0 and not call.repeatable
+        if call.idempotent or own_child:
             return await self._parts.router.execute(call, body)
         parsed = requestids.parse(call.request_id)
         if self._parts.issuer.owns(parsed):
-            return await self._parts.guard.execute(call, body)
+            return await self.start(call, body)
         record = self._parts.directory.get(parsed.issuer)
         if record and record.incarnation == parsed.incarnation:
             return await self._pass_on(record.name, call, body)
@@ -66,6 +70,12 @@
             return calls.not_run(refusal, call.request_id, self.name)
         return await self._settle(call, body, outcomes.ISSUER_LOST)
 
+    async def start(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
+        """Returns the answer of a call whose ID only this daemon starts."""
+        if call.depth > 0:
+            return await self._parts.children.execute(call, body)
+        return await self._parts.guard.execute(call, body)
+
     async def _pass_on(
         self, issuer: str, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
@@ -108,7 +118,7 @@
         self, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
         """Returns the call's answer."""
-        if not call.idempotent and call.depth == 0:
+        if not call.idempotent and (call.depth == 0 or call.repeatable):
             parsed = requestids.parse(call.request_id)
             # A call for an earlier incarnation of this daemon is meant for
             # its guard too, and must not be taken for one to serve here.
--- a/src/savorybend/internal/entry.py
+++ b/src/savorybend/internal/entry.py
@@ -1,12 +1,14 @@
 """Where calls enter: from callers with a key, from children with a handle."""
 
 import collections.abc
+import contextlib
 import typing
 
 from aiohttp import web
 
 from savorybend.internal import bodies
 from savorybend.internal import calls
+from savorybend.internal import children
 from savorybend.internal import configstore
 from savorybend.internal import guard
 from savorybend.internal import handles
@@ -39,6 +41,7 @@
     intake: intake.Intake
     target: calls.Target
     guard: guard.Guard
+    children: children.Children
     handles: handles.Handles
     issuer: issuing.Issuer
     journal: journal.Journal
@@ -115,9 +118,10 @@
         )
         if isinstance(body, outcomes.Refuse):
             return self._refuse(body, call.request_id, call)
-        answer = await self._execute(request, call, body)
-        answer = uploads.judge(call, body, answer)
-        response = await httpanswers.send(request, answer, call.request_id)
+        with self._cover(call):
+            answer = await self._execute(request, call, body)
+            answer = uploads.judge(call, body, answer)
+            response = await httpanswers.send(request, answer, call.request_id)
         passed_s = self._parts.clock.now_s() - started_s
         metrics.call_seconds(
             call.client_account, call.priority, answer.outcome.value
@@ -125,6 +129,12 @@
         self._note_answer(call, answer)
         return response
 
+    def _cover(self, call: calls.Call) -> contextlib.AbstractContextManager:
+        # The issuer of a non-idempotent request's ID sees to it.
+        if call.depth or not call.idempotent:
+            return contextlib.nullcontext()
+        return self._parts.children.cover(call.request_id)
+
     def _note_answer(self, call: calls.Call, answer: calls.Answer) -> None:
         if answer.reason in _NOT_THIS_REQUEST:
             # The ID is another request's, whose outcome this isn't.
@@ -173,7 +183,7 @@
     ) -> web.Response:
         outcome = outcomes.Outcome.NOT_RUN
         if call is None or not call.idempotent:
-            outcome = self._outcome_of_refusal(request_id)
+            outcome = self._outcome_of_refusal(request_id, call)
         if call is not None:
             self._parts.journal.close(
                 request_id, "refused", outcome.value, refusal.reason.name
@@ -193,13 +203,17 @@
         )
         return httpanswers.create(answer, request_id)
 
-    def _outcome_of_refusal(self, request_id: str) -> outcomes.Outcome:
+    def _outcome_of_refusal(
+        self, request_id: str, call: calls.Call | None
+    ) -> outcomes.Outcome:
         """Returns what may be said of a request whose sending is refused.
 
         An earlier sending under the same ID may have run; only the issuer
         knows.
         """
         parsed = requestids.parse(request_id)
+        if call is not None and call.repeatable:
+            return outcomes.Outcome.UNKNOWN
         if not parsed or parsed.path or self._parts.guard.unstarted(parsed):
             return outcomes.Outcome.NOT_RUN
         return outcomes.Outcome.UNKNOWN
--- a/src/savorybend/internal/forwarding.py
+++ b/src/savorybend/internal/forwarding.py
@@ -138,6 +138,7 @@
             call.retries,
             call.depth,
             call.key_id,
+            call.repeatable,
         )
         data = body.whole
         whole = data is not None
--- a/src/savorybend/internal/guard.py
+++ b/src/savorybend/internal/guard.py
@@ -5,6 +5,7 @@
 
 from savorybend.internal import bodies
 from savorybend.internal import calls
+from savorybend.internal import children
 from savorybend.internal import fingerprints
 from savorybend.internal import issuing
 from savorybend.internal import journal
@@ -28,6 +29,7 @@
     journal: journal.Journal
     recovery: recovering.Recovery
     admit: Admit
+    children: children.Children
     target: calls.Target
 
 
@@ -103,6 +105,9 @@
                     verdict, call.request_id, self._parts.daemon
                 )
             case _:
+                self._parts.children.cover_until(
+                    call.request_id, call.deadline_s
+                )
                 answer = await self._parts.target.execute(call, body)
         if answer.reason == outcomes.ANSWER_LOST.name:
             answer = await self._parts.recovery.fetch(call, body, answer)
--- a/src/savorybend/internal/intake.py
+++ b/src/savorybend/internal/intake.py
@@ -136,6 +136,7 @@
             retries=live.lend_retries(),
             depth=parent.depth + 1,
             key_id=parent.key_id,
+            repeatable=parent.idempotent and not route.idempotent,
         )
         live.effects = live.effects or not route.idempotent
         self._note(call, "child-call", f"depth={call.depth}")
--- a/src/savorybend/internal/receiving.py
+++ b/src/savorybend/internal/receiving.py
@@ -141,6 +141,7 @@
             head.retries,
             head.depth,
             head.key_id,
+            head.repeatable,
         )
 
     async def _reply(
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -35,6 +35,7 @@
         "answered",
         "answer",
         "last",
+        "_lent",
         "_lost",
     )
 
@@ -46,20 +47,33 @@
         self.answered: frozenset[str] = frozenset()
         self.answer: calls.Answer | None = None
         self.last: calls.Answer | None = None
+        self._lent = 0
         self._lost = 0
 
-    def next_call(self) -> calls.Call:
-        """Returns the call with the retries that are left."""
-        return self.call._replace(retries=self.call.retries - self.spent)
+    def next_call(self, remote: bool) -> calls.Call:
+        """Returns the call with the retries that it may use.
+
+        Args:
+            remote: Whether another daemon will serve it.
+        """
+        left = self.call.retries - self.spent
+        # A daemon that is lost doesn't say how many it used, so one is kept
+        # back. The last one goes on, since where a chain fails is mostly
+        # further down.
+        if remote and self.call.idempotent and left > 1:
+            left -= 1
+        self._lent = left
+        return self.call._replace(retries=left)
 
     def note(self, daemon: str, answer: calls.Answer) -> None:
         """Takes the answer of a try."""
-        self.spent += answer.retries_spent
+        lost = _lost_daemon(answer)
+        self.spent += self._lent if lost else answer.retries_spent
         self.tried |= {daemon}
         self.last = answer
         if answer.outcome is outcomes.Outcome.RAN:
             self.answered |= {daemon}
-        if answer.reason == outcomes.BACKEND_SERVER_LOST.name:
+        if lost or answer.reason == outcomes.BACKEND_SERVER_LOST.name:
             self._lost += 1
         # "Not run" would be true of the last try alone.
         if self.answer is None or not _ran_nothing(answer):
@@ -69,11 +83,17 @@
         """Returns whether the daemon just tried failed, and may be repeated.
 
         Not where a daemon below has retried, where something was started that
-        must not run twice, or where a second backend server was lost: the
-        request itself may be what they died of.
+        must not run twice, or where a second backend server or its VM was
+        lost: the request itself may be what they died of.
         """
         answer = self.last
-        if not self.call.idempotent or answer.effects:
+        if not self.call.idempotent:
+            return False
+        if _lost_daemon(answer):
+            # Whatever it started that must not run twice is started again by
+            # the issuer alone; see `children`.
+            return self._lost == 1
+        if answer.effects:
             return False
         if answer.retries_spent or answer.body.whole is None:
             return False
@@ -108,7 +128,9 @@
         while True:
             match self._choose(tries):
                 case members.Record() as record:
-                    answer = await self._try(record, tries.next_call(), body)
+                    remote = record.name != self._directory.own.name
+                    call = tries.next_call(remote)
+                    answer = await self._try(record, call, body)
                     tries.note(record.name, answer)
                 case outcomes.Refuse() as refusal:
                     tries.note("", self._not_run(call, refusal))
@@ -177,6 +199,10 @@
     )
 
 
+def _lost_daemon(answer: calls.Answer) -> bool:
+    return answer.reason == outcomes.ANSWER_LOST.name
+
+
 def _ran_nothing(answer: calls.Answer) -> bool:
     return answer.outcome is outcomes.Outcome.NOT_RUN
 
--- a/src/savorybend/internal/wire/calls.py
+++ b/src/savorybend/internal/wire/calls.py
@@ -32,6 +32,7 @@
     retries: int
     depth: int
     key_id: str = ""
+    repeatable: bool = False
 
 
 class CallStart(msgspec.Struct, frozen=True, array_like=True, tag="call"):
