Let one daemon try what a backend server died under, one copy at a time

Cause: after the first death every other daemon still ran copies of the content, so 20 copies sent at once killed all four backend servers; and two copies of a harmless lookup at one dying backend server counted as two deaths, which quarantined the lookup for an hour. An answer of more than 32 KiB never cleared a suspect. Ruled out: refusing suspects everywhere for a while, and cancelling copies in flight elsewhere (both hit popular lookups at every crash); a bound on copies of any content (entries would have to agree for each call). Change: all daemons work out the same one from content, members and deaths; it tries the content, and the others name it in their refusal, where the router goes once. The check is made again after the wait at the gate. One death counts once, however many copies it met. Copies dispatched before the first news can still kill.

--- a/src/savorybend/internal/flights.py
+++ b/src/savorybend/internal/flights.py
@@ -13,6 +13,7 @@
 from savorybend.internal import headers
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
+from savorybend.internal import quarantine
 from savorybend.internal import timers
 
 # A backend server's own outcomes, where its answer states one.
@@ -28,6 +29,7 @@
     clock: timers.Clock
     gate: concurrency.Gate
     handles: handles.Handles
+    quarantine: quarantine.Quarantine
 
 
 class Flight:
@@ -42,6 +44,7 @@
         self._parts = parts
         self._ticket = ticket
         self._over = False
+        self._run: quarantine.Run | None = None
         self.live = live
         self.body_lost = False
 
@@ -55,11 +58,29 @@
         """The highest threshold at this daemon and behind it."""
         return max(self._parts.gate.threshold, self.live.threshold)
 
+    def begin(self, body: bodies.Body) -> outcomes.Refuse | None:
+        """Returns why the backend server must not have it now, if so."""
+        run = self._parts.quarantine.begin(self.call, body)
+        if isinstance(run, outcomes.Refuse):
+            return run
+        self._run = run
+        return None
+
+    def note_death(self) -> None:
+        """Notes that the backend server died under it."""
+        self._parts.quarantine.note_death(self._run)
+
+    def note_answer(self) -> None:
+        """Notes that the backend server lived through it."""
+        self._parts.quarantine.note_answer(self._run)
+
     def end(self, whole: bool) -> None:
         """Gives the ticket and the handle back; ending twice is no error."""
         if self._over:
             return
         self._over = True
+        if self._run is not None:
+            self._parts.quarantine.end(self._run)
         latency_s = self._parts.clock.now_s() - self._ticket.entered_s
         metrics.backend_seconds(self.call.priority).observe(latency_s)
         self._parts.handles.withdraw(self.live)
@@ -70,7 +91,9 @@
         """Returns what to call at the end of a streamed answer."""
 
         def on_end(whole: bool) -> None:
-            if not whole:
+            if whole:
+                self.note_answer()
+            else:
                 response.close()
             self.end(whole)
 
--- a/src/savorybend/internal/outcomes.py
+++ b/src/savorybend/internal/outcomes.py
@@ -98,6 +98,13 @@
 QUARANTINED = Reason(
     "quarantined", 422, "the request crashes backend servers: change it"
 )
+SUSPECT = Reason(
+    "suspect",
+    503,
+    "a backend server died under the same content, which one daemon tries "
+    "again: come back later",
+    1.0,
+)
 NEVER_SEEN = Reason(
     "never-seen", 410, "nothing ran under this ID: take a new one"
 )
@@ -125,11 +132,13 @@
         reason: Why.
         retry_after_s: When the caller may come back, in seconds.
         detail: What was wrong with this request, for the answer's body.
+        tried_by: The daemon that takes it instead; empty for any.
     """
 
     reason: Reason
     retry_after_s: float = 0.0
     detail: str = ""
+    tried_by: str = ""
 
 
 Verdict = Admit | Refuse
--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -6,6 +6,7 @@
 from savorybend.internal import calls
 from savorybend.internal import choice
 from savorybend.internal import forwarding
+from savorybend.internal import headers
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import retryratio
@@ -35,6 +36,7 @@
         "answered",
         "answer",
         "last",
+        "redirected",
         "_lent",
         "_lost",
     )
@@ -47,6 +49,7 @@
         self.answered: frozenset[str] = frozenset()
         self.answer: calls.Answer | None = None
         self.last: calls.Answer | None = None
+        self.redirected = False
         self._lent = 0
         self._lost = 0
 
@@ -125,8 +128,9 @@
         """Returns the call's answer, after as many tries as it may have."""
         self._ratio.note_call()
         tries = _Tries(call, body)
+        named: members.Record | None = None
         while True:
-            match self._choose(tries):
+            match named or self._choose(tries):
                 case members.Record() as record:
                     remote = record.name != self._directory.own.name
                     call = tries.next_call(remote)
@@ -136,6 +140,10 @@
                     tries.note("", self._not_run(call, refusal))
                 case _:
                     tries.note("", self._not_run(call, _nowhere(call)))
+            named = self._redirect(tries)
+            if named is not None:
+                tries.redirected = True
+                continue
             if not self._may_try_again(tries):
                 return tries.answer._replace(retries_spent=tries.spent)
             tries.spent += 1
@@ -150,6 +158,18 @@
             return False
         return self._has_another(tries) and self._ratio.take()
 
+    def _redirect(self, tries: "_Tries") -> members.Record | None:
+        """Returns the daemon that the last one names in its place.
+
+        Nothing ran, and it happens once, so it costs no retry.
+        """
+        if tries.last is None or tries.redirected or not tries.body.replayable:
+            return None
+        named = dict(tries.last.headers).get(headers.TRIED_BY, "")
+        if tries.last.reason != outcomes.SUSPECT.name or named in tries.tried:
+            return None
+        return self._directory.get(named) or None
+
     def _has_another(self, tries: "_Tries") -> bool:
         return isinstance(self._choose(tries), members.Record)
 
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -61,6 +61,7 @@
         )
 
     async def _run(self, call: calls.Call, body: bodies.Body) -> calls.Answer:
+        await self._parts.quarantine.wait(call, body)
         refusal = self._check(call, body)
         if refusal is not None:
             return self._not_run(call, refusal)
@@ -70,7 +71,10 @@
         live = self._parts.handles.grant(call)
         flight = flights.create_flight(
             flights.Parts(
-                self._parts.clock, self._parts.gate, self._parts.handles
+                self._parts.clock,
+                self._parts.gate,
+                self._parts.handles,
+                self._parts.quarantine,
             ),
             live,
             ticket,
@@ -80,6 +84,11 @@
         if call.deadline_s <= self._parts.clock.now_s():
             flight.end(whole=False)
             return self._not_run(call, outcomes.refuse(outcomes.TOO_LATE))
+        # News of a death may have come while the call waited at the gate.
+        refusal = flight.begin(body)
+        if refusal is not None:
+            flight.end(whole=False)
+            return self._not_run(call, refusal)
         try:
             return await self._dispatch(flight, body)
         except BaseException:
@@ -89,8 +98,9 @@
     def _check(
         self, call: calls.Call, body: bodies.Body
     ) -> outcomes.Refuse | None:
-        if self._parts.quarantine.blocks(call, body):
-            return outcomes.refuse(outcomes.QUARANTINED)
+        refusal = self._parts.quarantine.check(call, body)
+        if refusal is not None:
+            return refusal
         if self._draining:
             return outcomes.refuse(outcomes.ELSEWHERE)
         if not self._parts.backend_server.ready:
@@ -117,7 +127,7 @@
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 response = await self._send(flight, body, left_s)
-                return await self._answer(flight, body, response)
+                return await self._answer(flight, response)
         except aiohttp.ClientConnectorError as error:
             # No connection, so the backend server saw nothing of it.
             self._parts.backend_server.trigger("lose")
@@ -133,7 +143,7 @@
             flight.end(whole=False)
             if flight.body_lost:
                 return self._unknown(flight, outcomes.BODY_LOST)
-            self._parts.quarantine.note_death(call, body)
+            flight.note_death()
             return self._unknown(flight, outcomes.BACKEND_SERVER_LOST)
 
     async def _send(
@@ -165,23 +175,17 @@
     async def _answer(
         self,
         flight: flights.Flight,
-        asked: bodies.Body,
         response: aiohttp.ClientResponse,
     ) -> calls.Answer:
         outcome, reason = flights.outcome_of(flight.live, response)
         length = response.content_length
         if length is not None and length <= bodies.INLINE_BYTES:
             body = bodies.WholeBody(await response.read())
+            flight.note_answer()
             flight.end(whole=True)
-            self._parts.quarantine.note_answer(flight.call, asked)
         else:
             body = bodies.StreamedBody(
-                flights.create_reader(
-                    response,
-                    lambda: self._parts.quarantine.note_death(
-                        flight.call, asked
-                    ),
-                ),
+                flights.create_reader(response, flight.note_death),
                 length,
                 flight.end_of(response),
             )
@@ -214,12 +218,16 @@
             client_account=call.client_account,
             route=call.route,
         )
-        return calls.not_run(
+        answer = calls.not_run(
             refusal,
             call.request_id,
             self._parts.daemon,
             self._parts.gate.threshold,
         )
+        if not refusal.tried_by:
+            return answer
+        pair = (headers.TRIED_BY, refusal.tried_by)
+        return answer._replace(headers=[*answer.headers, pair])
 
     def _unknown(
         self, flight: flights.Flight, reason: outcomes.Reason
--- a/tests/integration/test_poison.py
+++ b/tests/integration/test_poison.py
@@ -1,5 +1,9 @@
 """A request that crashes backend servers is kept from the next ones."""
 
+import asyncio
+import collections
+
+import aiohttp
 import pytest
 import pytest_asyncio
 
@@ -11,10 +15,14 @@
 _BACKS = tuple(f"back-{number}" for number in range(1, 5))
 _WORKERS = (
     sites.Worker("front-1", "east", "front"),
+    sites.Worker("front-2", "east", "front"),
     *(sites.Worker(name, "east", "back") for name in _BACKS),
 )
 _ENTRIES = ("front-1", *_BACKS)
 _SENDINGS = 20
+_COPIES = 8
+_POLL_S = 0.05
+_DEADLINE_S = 10.0
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
@@ -57,6 +65,104 @@
     assert answers[-1].reason == "quarantined"
     told = {answer.reason for answer in answers}
     assert told == {"backend-server-lost", "quarantined"}
+    await _replace(site, dead)
+
+
+async def _replace(site, dead):
     for name in dead:
         await site.start_backend(name)
+        await _wait_listening(site, name)
     await site.wait_ready()
+
+
+async def _wait_listening(site, name):
+    # Its daemon may not have noticed that it was gone.
+    async with asyncio.timeout(_DEADLINE_S):
+        while True:
+            try:
+                await site.record(name)
+            except aiohttp.ClientError:
+                await asyncio.sleep(_POLL_S)
+            else:
+                return
+
+
+async def test_copies_sent_at_once_kill_one_more_at_most(site, maruyama):
+    entries = [site.addresses[name].call for name in _ENTRIES]
+    first = await _send_copy(maruyama, entries[0])
+    assert first.reason == "backend-server-lost"
+    copies = [
+        _send_copy(maruyama, entries[number % len(entries)])
+        for number in range(_SENDINGS)
+    ]
+    answers = await asyncio.gather(*copies)
+    dead = [n for n in _BACKS if site.ended(sites.backend_of(n))]
+    told = collections.Counter((a.outcome, a.reason) for a in answers)
+    print(len(dead), dict(told))
+    assert 0 < len(dead) <= 2
+    assert {reason for _, reason in told} <= {
+        "backend-server-lost",
+        "suspect",
+        "quarantined",
+    }
+    await _replace(site, dead)
+
+
+async def _send_copy(person, entry):
+    [request_id] = await person.take_ids(entry, 1)
+    return await person.call(
+        entry,
+        "/back/adjust",
+        method="POST",
+        headers={"X-Crash": "at-once", "Savorybend-Request-Id": request_id},
+    )
+
+
+async def _look_up(person, entry, size):
+    headers = {"X-Answer-Bytes": str(size)} if size else {}
+    return await person.call(entry, "/back/popular", headers=headers)
+
+
+# Two entries, since each has its own reserve of ten retries.
+@pytest.mark.parametrize(
+    ("size", "entry"), [(0, "front-1"), (1_000_000, "front-2")]
+)
+async def test_lookups_that_were_there_by_chance_run_elsewhere(
+    site, maruyama, size, entry
+):
+    for name in _BACKS:
+        await site.control(name, slow=1000)
+    address = site.addresses[entry].call
+    copies = [
+        asyncio.create_task(_look_up(maruyama, address, size))
+        for _ in range(_COPIES)
+    ]
+    victim, count = await _wait_for_copies(site)
+    # More than one copy there, and no more deaths than that one.
+    assert count > 1
+    for name in _BACKS:
+        await site.control(name, slow=1)
+    site.kill(sites.backend_of(victim))
+    answers = await asyncio.gather(*copies)
+    told = collections.Counter((a.outcome, a.reason) for a in answers)
+    print(dict(told))
+    assert set(told) == {("ran", "")}
+    await site.wait_ended(sites.backend_of(victim))
+    await _replace(site, [victim])
+    # It is no suspect any more, so that copies run side by side.
+    copies = [
+        _look_up(maruyama, site.addresses[name].call, size)
+        for name in _ENTRIES * 3
+    ]
+    answers = await asyncio.gather(*copies)
+    assert {answer.outcome for answer in answers} == {"ran"}
+
+
+async def _wait_for_copies(site):
+    """Returns the backend server that has the most copies, and how many."""
+    async with asyncio.timeout(_DEADLINE_S):
+        while True:
+            held = {n: (await site.record(n))["in_use"] for n in _BACKS}
+            if sum(held.values()) == _COPIES:
+                return max(held.items(), key=lambda item: item[1])
+            await asyncio.sleep(_POLL_S)
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -10,6 +10,7 @@
 from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import choice
+from savorybend.internal import headers
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import routing
@@ -39,8 +40,10 @@
     def __init__(self, script):
         self._script = iter(script)
         self.given = []
+        self.names = []
 
     def target(self, name):
+        self.names.append(name)
         return self
 
     async def execute(self, call, body):
@@ -120,7 +123,7 @@
     answer = asyncio.run(
         routing.create_router(parts).execute(call, bodies.EMPTY)
     )
-    return answer, fleet.given
+    return answer, fleet
 
 
 @pytest.mark.parametrize(("retries", "tries"), [(0, 1), (1, 1), (2, 2), (3, 2)])
@@ -129,8 +132,31 @@
         outcomes.Outcome.UNKNOWN, outcomes.ANSWER_LOST, "x", "front-1"
     )
     call = requests.create_lookup(retries=retries)
-    answer, given = _execute([lost] * 3, call)
-    assert len(given) == tries
+    answer, fleet = _execute([lost] * 3, call)
+    assert len(fleet.given) == tries
     assert answer.reason == "answer-lost"
-    plain = requests.create_call(retries=retries)
-    assert len(_execute([lost] * 3, plain)[1]) == 1
+    _, fleet = _execute([lost] * 3, requests.create_call(retries=retries))
+    assert len(fleet.given) == 1
+
+
+def _suspect(tried_by):
+    refusal = outcomes.refuse(outcomes.SUSPECT)
+    answer = calls.not_run(refusal, "x", "back-1")
+    return answer._replace(headers=[(headers.TRIED_BY, tried_by)])
+
+
+@pytest.mark.parametrize("tried_by", _NAMES)
+def test_a_suspect_goes_to_the_daemon_that_tries_it_once(tried_by):
+    script = [_suspect(tried_by), _suspect("back-1"), _suspect("back-2")]
+    answer, fleet = _execute(script, requests.create_call())
+    assert fleet.names[1:] in ([tried_by], [])
+    assert tried_by in fleet.names
+    # It was refused before anything ran, which is no retry.
+    assert answer.retries_spent == 0
+    assert (answer.outcome, answer.reason) == ("not-run", "suspect")
+
+
+def test_a_suspect_is_given_up_where_the_daemon_named_is_not_known():
+    answer, fleet = _execute([_suspect("back-9")], requests.create_lookup())
+    assert len(fleet.names) == 1
+    assert answer.reason == "suspect"
