Tell a refusal by the entry's own VM from an issuer out of reach

Cause: an entry took any `not-run` that named itself as decider for "the issuer was not reached". When the issuer's guard had given the call back to the entry's own backend server, and that had refused it, the caller was told `unknown` / `issuer-unreachable` of a request proven not to have run. Seen in the trial of copies sent at once. Ruled out: telling the two apart by reason, since both may say `no-backend-server`. Change: the forwarder has a method that raises where a call is not sent.

--- a/src/savorybend/internal/dispatching.py
+++ b/src/savorybend/internal/dispatching.py
@@ -6,6 +6,7 @@
 from savorybend.internal import calls
 from savorybend.internal import children
 from savorybend.internal import departures
+from savorybend.internal import errors
 from savorybend.internal import forwarding
 from savorybend.internal import guard
 from savorybend.internal import issuing
@@ -79,14 +80,14 @@
     async def _pass_on(
         self, issuer: str, call: calls.Call, body: bodies.Body
     ) -> calls.Answer:
-        answer = await self._parts.forwarder.execute(issuer, call, body)
-        if answer.decided_by != self.name:
-            return answer
-        if answer.outcome is outcomes.Outcome.NOT_RUN:
+        try:
+            answer = await self._parts.forwarder.send(issuer, call, body)
+        except errors.PeerUnreachableError:
             # This sending didn't reach the issuer, but an earlier one may
             # have, so this is no proof that nothing ran.
             return self._unknown(call, outcomes.ISSUER_UNREACHABLE)
-        if answer.reason == outcomes.ANSWER_LOST.name:
+        own = answer.decided_by == self.name
+        if own and answer.reason == outcomes.ANSWER_LOST.name:
             return await self._settle(call, body, outcomes.ANSWER_LOST)
         return answer
 
--- a/src/savorybend/internal/forwarding.py
+++ b/src/savorybend/internal/forwarding.py
@@ -76,16 +76,26 @@
         An answer of its own says `not-run` where the call was not sent, and
         `unknown` where it was and the peer vanished.
         """
-        stream = next(self._streams)
-        pending = _Pending(peer, call, self._loop.create_future())
         try:
-            self._start(stream, peer, call, body)
+            return await self.send(peer, call, body)
         except errors.PeerUnreachableError as error:
             return calls.not_run(
                 outcomes.refuse(outcomes.NO_BACKEND_SERVER, str(error)),
                 call.request_id,
                 self._transport.name,
             )
+
+    async def send(
+        self, peer: str, call: calls.Call, body: bodies.Body
+    ) -> calls.Answer:
+        """Returns the answer of the daemon called `peer`.
+
+        Raises:
+            errors.PeerUnreachableError: The call was not sent.
+        """
+        stream = next(self._streams)
+        pending = _Pending(peer, call, self._loop.create_future())
+        self._start(stream, peer, call, body)
         self._pending[stream] = pending
         left_s = call.deadline_s - self._clock.now_s()
         pending.expiry = self._timers.after(
--- a/tests/integration/test_poison.py
+++ b/tests/integration/test_poison.py
@@ -89,10 +89,11 @@
 
 async def test_copies_sent_at_once_kill_one_more_at_most(site, maruyama):
     entries = [site.addresses[name].call for name in _ENTRIES]
-    first = await _send_copy(maruyama, entries[0])
+    issuer = entries[0]
+    first = await _send_copy(maruyama, issuer, issuer)
     assert first.reason == "backend-server-lost"
     copies = [
-        _send_copy(maruyama, entries[number % len(entries)])
+        _send_copy(maruyama, issuer, entries[number % len(entries)])
         for number in range(_SENDINGS)
     ]
     answers = await asyncio.gather(*copies)
@@ -100,6 +101,7 @@
     told = collections.Counter((a.outcome, a.reason) for a in answers)
     print(len(dead), dict(told))
     assert 0 < len(dead) <= 2
+    # "issuer-unreachable" was said of a refusal by the entry's own VM.
     assert {reason for _, reason in told} <= {
         "backend-server-lost",
         "suspect",
@@ -108,8 +110,8 @@
     await _replace(site, dead)
 
 
-async def _send_copy(person, entry):
-    [request_id] = await person.take_ids(entry, 1)
+async def _send_copy(person, issuer, entry):
+    [request_id] = await person.take_ids(issuer, 1)
     return await person.call(
         entry,
         "/back/adjust",
