--- a/src/savorybend/internal/routing.py
+++ b/src/savorybend/internal/routing.py
@@ -6,6 +6,7 @@
 from savorybend.internal import calls
 from savorybend.internal import choice
 from savorybend.internal import forwarding
+from savorybend.internal import headers
 from savorybend.internal import members
 from savorybend.internal import outcomes
 from savorybend.internal import retryratio
@@ -35,6 +36,8 @@
         "answered",
         "answer",
         "last",
+        "redirected",
+        "_lent",
         "_lost",
     )
 
@@ -46,20 +49,34 @@
         self.answered: frozenset[str] = frozenset()
         self.answer: calls.Answer | None = None
         self.last: calls.Answer | None = None
+        self.redirected = False
+        self._lent = 0
         self._lost = 0
 
-    def next_call(self) -> calls.Call:
-        """Returns the call with the retries that are left."""
-        return self.call._replace(retries=self.call.retries - self.spent)
+    def next_call(self, remote: bool) -> calls.Call:
+        """Returns the call with the retries that it may use.
+
+        Args:
+            remote: Whether another daemon will serve it.
+        """
+        left = self.call.retries - self.spent
+        # A daemon that is lost doesn't say how many it used, so one is kept
+        # back. The last one goes on, since where a chain fails is mostly
+        # further down.
+        if remote and self.call.idempotent and left > 1:
+            left -= 1
+        self._lent = left
+        return self.call._replace(retries=left)
 
     def note(self, daemon: str, answer: calls.Answer) -> None:
         """Takes the answer of a try."""
-        self.spent += answer.retries_spent
+        lost = _lost_daemon(answer)
+        self.spent += self._lent if lost else answer.retries_spent
         self.tried |= {daemon}
         self.last = answer
         if answer.outcome is outcomes.Outcome.RAN:
             self.answered |= {daemon}
-        if answer.reason == outcomes.BACKEND_SERVER_LOST.name:
+        if lost or answer.reason == outcomes.BACKEND_SERVER_LOST.name:
             self._lost += 1
         # "Not run" would be true of the last try alone.
         if self.answer is None or not _ran_nothing(answer):
@@ -69,11 +86,17 @@
         """Returns whether the daemon just tried failed, and may be repeated.
 
         Not where a daemon below has retried, where something was started that
-        must not run twice, or where a second backend server was lost: the
-        request itself may be what they died of.
+        must not run twice, or where a second backend server or its VM was
+        lost: the request itself may be what they died of.
         """
         answer = self.last
-        if not self.call.idempotent or answer.effects:
+        if not self.call.idempotent:
+            return False
+        if _lost_daemon(answer):
+            # Whatever it started that must not run twice is started again by
+            # the issuer alone; see `children`.
+            return self._lost == 1
+        if answer.effects:
             return False
         if answer.retries_spent or answer.body.whole is None:
             return False
@@ -105,15 +128,22 @@
         """Returns the call's answer, after as many tries as it may have."""
         self._ratio.note_call()
         tries = _Tries(call, body)
+        named: members.Record | None = None
         while True:
-            match self._choose(tries):
+            match named or self._choose(tries):
                 case members.Record() as record:
-                    answer = await self._try(record, tries.next_call(), body)
+                    remote = record.name != self._directory.own.name
+                    call = tries.next_call(remote)
+                    answer = await self._try(record, call, body)
                     tries.note(record.name, answer)
                 case outcomes.Refuse() as refusal:
                     tries.note("", self._not_run(call, refusal))
                 case _:
                     tries.note("", self._not_run(call, _nowhere(call)))
+            named = self._redirect(tries)
+            if named is not None:
+                tries.redirected = True
+                continue
             if not self._may_try_again(tries):
                 return tries.answer._replace(retries_spent=tries.spent)
             tries.spent += 1
@@ -128,6 +158,18 @@
             return False
         return self._has_another(tries) and self._ratio.take()
 
+    def _redirect(self, tries: "_Tries") -> members.Record | None:
+        """Returns the daemon that the last one names in its place.
+
+        Nothing ran, and it happens once, so it costs no retry.
+        """
+        if tries.last is None or tries.redirected or not tries.body.replayable:
+            return None
+        named = dict(tries.last.headers).get(headers.TRIED_BY, "")
+        if tries.last.reason != outcomes.SUSPECT.name or named in tries.tried:
+            return None
+        return self._directory.get(named) or None
+
     def _has_another(self, tries: "_Tries") -> bool:
         return isinstance(self._choose(tries), members.Record)
 
@@ -177,6 +219,10 @@
     )
 
 
+def _lost_daemon(answer: calls.Answer) -> bool:
+    return answer.reason == outcomes.ANSWER_LOST.name
+
+
 def _ran_nothing(answer: calls.Answer) -> bool:
     return answer.outcome is outcomes.Outcome.NOT_RUN
 
