Cut whole classes at once when a surge begins

Cause: in the directorate's surge all technicians' calls that were lost (9% of capacity) were lost in the first 3.5 s, while the tracker's threshold climbed by a quarter of the way each 0.25 s (0 to 7.7 by 3.5 s) and doomed free-slots calls held the slots service. Change: the threshold goes to within one class of where it is wanted at once, and steers by small steps only within the class cut in part. The new test fails without it (class 5 whole after two windows).

--- a/src/savorybend/internal/admission.py
+++ b/src/savorybend/internal/admission.py
@@ -123,7 +123,11 @@
     def _steer(self) -> None:
         self._easing = _SMALLEST_EASING
         wanted = CLASSES - self._cut(self._served * _HEADROOM)
-        self._set(self._threshold + (wanted - self._threshold) * _GAIN)
+        # Whole classes that can't be served are refused at once, since all
+        # that is done for them meanwhile is wasted. Only how much of a class
+        # fits is found by small steps.
+        near = max(self._threshold, wanted - 1)
+        self._set(near + (wanted - near) * _GAIN)
 
     def _cut(self, room: float) -> float:
         """Returns how many classes, parts included, fit into `room`."""
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -45,6 +45,17 @@
     assert admission.part_admitted(8, controller.threshold) == 0
 
 
+def test_classes_that_cannot_be_served_are_refused_after_two_windows():
+    # Reached by small steps, the threshold let them through for 2 s, and the
+    # directorate lost 9% of its goodput to calls that were shed deeper.
+    clock = fakes.create_clock()
+    controller = admission.create_controller(clock)
+    offered = {0: 20, 3: 40, 5: 100, 8: 100}
+    _overload(controller, clock, 2 * _WINDOW_S, offered, room=80)
+    assert admission.part_admitted(3, controller.threshold) == 1
+    assert admission.part_admitted(5, controller.threshold) < 1
+
+
 def test_the_threshold_is_gone_within_the_recovery_time():
     clock = fakes.create_clock()
     controller = admission.create_controller(clock)
