Tell a gate's own threshold to child calls only

Cause: outside the surge, calls that enter beside the overloaded gate (tracker's classes 3 and 4, history's 5 to 8) were refused by their entry for up to 0.75 s after it, since an entry that refuses a route hears news of it only from probes each 0.5 s. The gate itself would have taken them. Ruled out: shorter probes, which cost doomed work in every entry. Change: an answer to a call of depth 0 carries only the threshold of what is behind it. The new test fails without it.

--- a/src/savorybend/internal/concurrency.py
+++ b/src/savorybend/internal/concurrency.py
@@ -105,6 +105,15 @@
             return calls.NO_THRESHOLD
         return self._controller.threshold
 
+    def threshold_for(self, call: calls.Call) -> float:
+        """Returns the threshold that an answer to a call carries.
+
+        Nothing ran for a call that enters beside the gate, so the gate itself
+        refuses it as cheaply as its entry, and exactly: whatever important
+        calls leave free goes to it, and it is refused no longer than need be.
+        """
+        return self.threshold if call.depth else calls.NO_THRESHOLD
+
     def set_slots(self, slots: int) -> None:
         """Takes the backend server's word for its size as a first guess.
 
--- a/src/savorybend/internal/flights.py
+++ b/src/savorybend/internal/flights.py
@@ -52,8 +52,10 @@
 
     @property
     def threshold(self) -> float:
-        """The highest threshold at this daemon and behind it."""
-        return max(self._parts.gate.threshold, self.live.threshold)
+        """The highest threshold that decides about calls like this one."""
+        return max(
+            self._parts.gate.threshold_for(self.call), self.live.threshold
+        )
 
     def end(self, whole: bool) -> None:
         """Gives the ticket and the handle back; ending twice is no error."""
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -218,7 +218,7 @@
             refusal,
             call.request_id,
             self._parts.daemon,
-            self._parts.gate.threshold,
+            self._parts.gate.threshold_for(call),
         )
 
     def _unknown(
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -232,6 +232,17 @@
     assert (stage.gate.threshold > 0) == raised
 
 
+# Entries once refused what a gate beside them would have taken, for up to two
+# seconds after an overload.
+async def test_the_threshold_is_not_for_calls_that_enter_beside_the_gate():
+    stage = Stage(slots=2)
+    for _ in range(20):
+        await stage.send(depth=1)
+    await stage.advance(0.3)
+    assert stage.gate.threshold_for(requests.create_lookup(depth=1)) > 0
+    assert stage.gate.threshold_for(requests.create_lookup(depth=0)) == 0
+
+
 # The gate once gave the place of a caller who had just left to its cancelled
 # future, and the error took the call that had ended down with it.
 async def test_a_caller_who_leaves_as_its_turn_comes_is_passed_over():
