Let two windows agree before whole classes are cut

Change: the jump goes to what both this window and the one before want. The new test fails without it.

--- a/src/savorybend/internal/admission.py
+++ b/src/savorybend/internal/admission.py
@@ -67,6 +67,7 @@
         self._clock = clock
         self._threshold = calls.NO_THRESHOLD
         self._easing = _SMALLEST_EASING
+        self._wanted_before = calls.NO_THRESHOLD
         self._offered: dict[int, float] = {}
         self._served = 0.0
         self._shed = 0
@@ -114,6 +115,8 @@
             self._set(self._threshold * _IDLE_PART)
         else:
             self._ease()
+        if not self._shed:
+            self._wanted_before = calls.NO_THRESHOLD
         for priority in self._offered:
             self._offered[priority] *= _KEPT_PART
         self._served *= _KEPT_PART
@@ -125,8 +128,11 @@
         wanted = CLASSES - self._cut(self._served * _HEADROOM)
         # Whole classes that can't be served are refused at once, since all
         # that is done for them meanwhile is wasted. Only how much of a class
-        # fits is found by small steps.
-        near = max(self._threshold, wanted - 1)
+        # fits is found by small steps. Two windows must agree, lest a burst
+        # of the most important class cuts all the others.
+        sure = min(wanted, self._wanted_before)
+        self._wanted_before = wanted
+        near = max(self._threshold, sure - 1)
         self._set(near + (wanted - near) * _GAIN)
 
     def _cut(self, room: float) -> float:
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -54,6 +54,14 @@
     assert admission.part_admitted(5, controller.threshold) < 1
 
 
+def test_one_window_s_burst_of_the_best_class_cuts_no_other_whole():
+    # It took kitakaze's class 3 away for two seconds.
+    clock = fakes.create_clock()
+    controller = admission.create_controller(clock)
+    _overload(controller, clock, _WINDOW_S, {0: 200, 3: 20}, room=60)
+    assert admission.part_admitted(3, controller.threshold) == 1
+
+
 def test_the_threshold_is_gone_within_the_recovery_time():
     clock = fakes.create_clock()
     controller = admission.create_controller(clock)
