Disturb one cold start and lagging load reports

Change: bench.disturbed restarts one backend server of the deep service, three times slower for 5 s, and has load reports say what was so 2 s ago.

--- a/bench/disturbed.py
+++ b/bench/disturbed.py
@@ -7,7 +7,9 @@
 
 import argparse
 import asyncio
+import collections
 import collections.abc
+import contextlib
 import math
 import typing
 
@@ -29,6 +31,10 @@
 _ANNOUNCED_FACTOR = 4
 # Longer than the start of a site, so that the load meets it cold.
 _COLD_S = 15.0
+# A single one is warm again halfway through a short run.
+_ONE_COLD_S = 5.0
+_LAG_S = 2.0
+_REPORT_S = 0.25
 
 
 class Case(typing.NamedTuple):
@@ -36,6 +42,7 @@
 
     Attributes:
         disturb: Sets it, on the workers of the deep service.
+        during: Goes on with it until it is cancelled at the end.
         cold_s: How long backend servers are slow after their start.
         load_factor: Demand, against the usual one.
         flood_factor: One account's demand, against its usual one.
@@ -43,6 +50,7 @@
     """
 
     disturb: _Disturb
+    during: _Disturb | None = None
     cold_s: float = 0.0
     load_factor: float = _LOAD_FACTOR
     flood_factor: float = 1.0
@@ -69,6 +77,29 @@
         await site.control(name, announced=slots)
 
 
+async def _report_late(site: sites.Site, deep: list[str]) -> None:
+    """Has reports say what was so a while ago."""
+    seen: collections.deque[dict[str, int]] = collections.deque()
+    while True:
+        now = {name: (await site.record(name))["in_use"] for name in deep}
+        seen.append(now)
+        if len(seen) > _LAG_S / _REPORT_S:
+            for name, in_use in seen.popleft().items():
+                await site.control(name, report=in_use)
+        await asyncio.sleep(_REPORT_S)
+
+
+async def _restart_one(site: sites.Site, deep: list[str]) -> None:
+    name = deep[0]
+    worker = site.workers[name]
+    site.workers[name] = worker._replace(cold_s=_ONE_COLD_S)
+    backend = sites.backend_of(name)
+    site.kill(backend)
+    await site.wait_ended(backend)
+    await site.start_backend(name)
+    await site.wait_ready()
+
+
 async def _slow_one(site: sites.Site, deep: list[str]) -> None:
     await site.control(deep[0], slow=surgeplans.SLOWER, report=0)
 
@@ -82,8 +113,10 @@
     "undisturbed": Case(_nothing),
     "reports say idle": Case(_report_idle),
     "reports say full": Case(_report_busy),
+    "reports lag by 2 s": Case(_nothing, during=_report_late),
     "announces 4x its slots": Case(_announce_more),
     "cold start": Case(_nothing, cold_s=_COLD_S),
+    "cold start of one": Case(_restart_one),
     "one slow but says healthy": Case(_slow_one),
     "short of room": Case(_slow_all, load_factor=_CALM_FACTOR),
     "short of room and a flood": Case(
@@ -118,7 +151,13 @@
             if worker.service == plan.deep_service
         ]
         await case.disturb(site, deep)
-        return await surge.call(surge.create_loads(site, plan, made, [phase]))
+        during = asyncio.create_task((case.during or _nothing)(site, deep))
+        loads = surge.create_loads(site, plan, made, [phase])
+        records = await surge.call(loads)
+        during.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await during
+        return records
 
 
 def _row(
