Measure a fleet at rest only after its start is told

Cause: bench.capacity idle showed 2,510 B/s a daemon at 48 daemons, out of line with 678 to 917 at 4 to 24. In six stretches of 6 s from the start 48 daemons had 8,291, 3,963, 1,450, 722, 688 and 687 B/s each: the start of each daemon is repeated on probes about log2(members) times, eight to a message, which the 5 s before the measurement were too short for. Ruled out: refutations (all revisions 0), silent connections (none), growth of the quiet traffic (bench.fleet has 90 B/s at every size). Change: the bench waits 5 s and what the repetition takes: 22 s at 48.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import gc
+import math
 import os
 import pathlib
 import re
@@ -33,6 +34,8 @@
 
 _MB = 1_000_000
 _SETTLE_S = 5.0
+# Updates a second that a daemon repeats on its probes and replies.
+_REPEATED_PER_S = 16.0
 _COUNTERS = (
     "savorybend_peer_messages_total",
     "savorybend_platform_calls_total",
@@ -76,7 +79,7 @@
         document = documents.create_site().to_json().encode()
         await site.ctl("config", "submit", "-", stdin=document)
         await site.wait_ready()
-        await asyncio.sleep(_SETTLE_S)
+        await asyncio.sleep(_settle_s(size))
         before = await _reading(site)
         await asyncio.sleep(seconds)
         after = await _reading(site)
@@ -95,6 +98,12 @@
         }
 
 
+def _settle_s(size: int) -> float:
+    """Returns how long a fleet that starts at once still tells of it."""
+    # Probes repeat the start of each daemon about log2(size) times.
+    return _SETTLE_S + size * math.log2(size + 1) / _REPEATED_PER_S
+
+
 async def _reading(site) -> dict[str, float]:
     """Returns the sums over all daemons."""
     total: dict[str, float] = {"cpu_s": 0.0, "resident": 0.0}
