Tell of a daemon in brief where its record is known

Cause: each daemon that was taken for dead while a data centre was cut off is accused and speaks up, and each word carried the whole record. Ruled out: fewer repetitions on probes (they are what mends a lost round within a second or two); hints that the receiver asks about (a round trip more for each hop). Change: within an incarnation only revision, state and signature of a record change, so news of a daemon that has started before is told by these (briefs.py): 120 bytes for its own word, 48 to 51 for an opinion of others, 260 before. The receiver restores the record, and the signature shows whether it did so rightly. A new start is told in whole, and so is a repair. A data centre of 1,000 daemons that heals still takes a daemon above 7 KB/s for a while: about 1.2 MB, worked out, 2.3 MB before signatures.

--- a/src/savorybend/internal/membership.py
+++ b/src/savorybend/internal/membership.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+from savorybend.internal import briefs
 from savorybend.internal import errors
 from savorybend.internal import members
 from savorybend.internal import neighbours
@@ -84,7 +85,7 @@
             )
         )
         self._repair = repairs.create_repair(
-            self._roster, parts.transport.send, self._create_gossip
+            self._roster, parts.transport.send, self._create_whole
         )
         self._round_due = False
         self._quiet = False
@@ -161,8 +162,9 @@
 
     def _on_probe(self, peer: str, message: wire.Probe) -> None:
         self._take_from(peer, message)
+        whole, brief = briefs.shorten(self._updates_for(peer))
         reply = wire.ProbeReply(
-            message.sequence, self._updates_for(peer), self._standing()
+            message.sequence, whole, self._standing(), brief
         )
         self._try_send(peer, reply)
 
@@ -196,6 +198,10 @@
         self, peer: str, message: wire.Probe | wire.ProbeReply | wire.Gossip
     ) -> None:
         self.take(message.updates)
+        for brief in message.briefs:
+            update = briefs.restore(self._roster, brief)
+            if update is not None:
+                self._roster.take(update)
         self._parts.configuration.on_standing(peer, message.standing)
 
     def _on_update(self, update: wire.Update) -> None:
@@ -226,10 +232,15 @@
             self.repair_with(self._parts.rng.choice(chosen).name)
 
     def _create_probe(self, target: str, sequence: int) -> wire.Probe:
-        updates = self._updates_for(target)
-        return wire.Probe(sequence, updates, self._standing())
+        whole, brief = briefs.shorten(self._updates_for(target))
+        return wire.Probe(sequence, whole, self._standing(), brief)
 
     def _create_gossip(self, updates: list[wire.Update]) -> wire.Gossip:
+        whole, brief = briefs.shorten(updates)
+        return wire.Gossip(whole, self._standing(), brief)
+
+    def _create_whole(self, updates: list[wire.Update]) -> wire.Gossip:
+        # Whoever needs the repair may lack the record altogether.
         return wire.Gossip(updates, self._standing())
 
     def _updates_for(self, peer: str) -> list[wire.Update]:
--- a/src/savorybend/internal/wire/membership.py
+++ b/src/savorybend/internal/wire/membership.py
@@ -19,6 +19,29 @@
     age_s: float = 0.0
 
 
+class Brief(msgspec.Struct, frozen=True, array_like=True):
+    """An `Update` for those that have the record in some revision.
+
+    Attributes:
+        name: The daemon's name.
+        incarnation: Of its record.
+        revision: Of its record.
+        state: A state of charts/member.json.
+        age_s: As in `Update`.
+        announced_state: The record's own state, where it is signed here.
+        signature: Of the record in this revision; empty for an opinion of
+            others, who say nothing of the record.
+    """
+
+    name: str
+    incarnation: int
+    revision: int
+    state: str
+    age_s: float = 0.0
+    announced_state: str = ""
+    signature: bytes = b""
+
+
 class Standing(msgspec.Struct, frozen=True, array_like=True):
     """Which configuration a daemon has in force.
 
@@ -39,11 +62,13 @@
         sequence: Counts the sender's probes.
         updates: News of daemons.
         standing: The sender's configuration.
+        briefs: News of daemons that the receiver mostly knows.
     """
 
     sequence: int
     updates: list[Update]
     standing: Standing
+    briefs: list[Brief] = []
 
 
 class ProbeReply(
@@ -54,6 +79,7 @@
     sequence: int
     updates: list[Update]
     standing: Standing
+    briefs: list[Brief] = []
 
 
 class ProbeFor(msgspec.Struct, frozen=True, array_like=True, tag="members.for"):
@@ -83,6 +109,7 @@
 
     updates: list[Update]
     standing: Standing
+    briefs: list[Brief] = []
 
 
 class Signatures(
--- /dev/null
+++ b/tests/unit/test_briefs.py
@@ -0,0 +1,87 @@
+"""News in brief says as much as news in whole, and nothing more."""
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from savorybend.internal import briefs
+from savorybend.internal import members
+from savorybend.internal import roster as rosters
+from savorybend.internal.wire import membership as wire
+from tests import fakes
+
+_FIRST = fakes.create_record("a")
+
+
+def _revise(revision, state=members.SERVING):
+    return fakes.sign(
+        msgspec.structs.replace(_FIRST, revision=revision, state=state)
+    )
+
+
+def _create_roster(record):
+    directory = members.create_directory(fakes.create_record("own"))
+    roster = rosters.create_roster(
+        directory, fakes.create_clock(), fakes.create_signer("own")
+    )
+    roster.take(wire.Update(record, rosters.ALIVE))
+    return roster
+
+
+@hypothesis.given(
+    known=strategies.integers(0, 3),
+    told=strategies.integers(1, 4),
+    announced=strategies.sampled_from((members.SERVING, members.DRAINING)),
+)
+def test_the_holders_word_is_restored_from_any_revision(known, told, announced):
+    update = wire.Update(_revise(told, announced), rosters.ALIVE, 2.0)
+    whole, brief = briefs.shorten([update])
+    assert not whole
+    roster = _create_roster(_revise(known))
+    assert briefs.restore(roster, brief[0]) == update
+    assert roster.take(update) == (told > known)
+
+
+def test_a_departure_is_restored():
+    update = wire.Update(_revise(1, members.LEFT), rosters.LEFT)
+    _, brief = briefs.shorten([update])
+    roster = _create_roster(_FIRST)
+    assert roster.take(briefs.restore(roster, brief[0]))
+    assert roster.get("a").state == rosters.LEFT
+
+
+@pytest.mark.parametrize("state", [rosters.SUSPECT, rosters.DEAD])
+def test_an_opinion_is_about_the_revision_that_it_names(state):
+    _, brief = briefs.shorten([wire.Update(_revise(1), state)])
+    assert briefs.restore(_create_roster(_revise(2)), brief[0]) is None
+    roster = _create_roster(_revise(1))
+    assert roster.take(briefs.restore(roster, brief[0]))
+    assert roster.get("a").state == rosters.SUSPECT
+
+
+def test_a_new_start_is_told_in_whole():
+    update = wire.Update(_FIRST, rosters.ALIVE)
+    assert briefs.shorten([update]) == ([update], [])
+
+
+_TOLD = briefs.shorten([wire.Update(_revise(1), rosters.ALIVE)])[1][0]
+# Each row: what is wrong, and the news in brief.
+_WRONG = (
+    ("an unknown name", {"name": "b"}),
+    ("another start", {"incarnation": 2}),
+    ("another revision", {"revision": 2}),
+    ("another state", {"announced_state": members.DRAINING}),
+    ("a garbled signature", {"signature": b"x" * 64}),
+    ("no signature", {"signature": b""}),
+    ("a state that is none", {"state": "nonsense"}),
+)
+
+
+@pytest.mark.parametrize("row", _WRONG, ids=[row[0] for row in _WRONG])
+def test_what_the_holder_did_not_say_is_not_taken(row):
+    roster = _create_roster(_FIRST)
+    brief = msgspec.structs.replace(_TOLD, **row[1])
+    update = briefs.restore(roster, brief)
+    assert update is None or not roster.take(update)
+    assert roster.get("a").record == _FIRST
