Move the choice of lenders out of the spender

Cause: the spender had come to hold the silence of allocators as well as the accounts' tokens. Change: lenders.py says whom to ask, and whether one has just taken over. Behaviour is the same.

--- a/src/savorybend/internal/limits.py
+++ b/src/savorybend/internal/limits.py
@@ -17,6 +17,7 @@
 from savorybend.internal import holdings
 from savorybend.internal import ledger
 from savorybend.internal import ledgerkeeper
+from savorybend.internal import lenders
 from savorybend.internal import lending
 from savorybend.internal import metrics
 from savorybend.internal import outcomes
@@ -95,6 +96,9 @@
         self._owner = self._create_owner()
         self._keeper = self._create_keeper()
         self._lender = self._create_lender()
+        self._lenders = lenders.create_lenders(
+            self._chooser, self._clock, self._own.data_centre
+        )
         self._spender = self._create_spender()
         self._ticking = parts.timers.every(entrusting.INTERVAL_S, self._tick)
 
@@ -145,7 +149,7 @@
         }
         self._allocator.configure(found, self._clock.now_s(), current.version)
         self._lender.set_centres(shares)
-        self._spender.set_centres(shares)
+        self._lenders.set_centres(shares)
 
     def receive(self, peer: str, message: messages.Message) -> None:
         """Takes a message of another daemon, or of this one."""
@@ -266,8 +270,7 @@
             spending.Parts(
                 clock=self._clock,
                 timers=self._parts.timers,
-                chooser=self._chooser,
-                data_centre=self._own.data_centre,
+                lenders=self._lenders,
                 send=self._send,
             )
         )
--- a/src/savorybend/internal/spending.py
+++ b/src/savorybend/internal/spending.py
@@ -2,32 +2,24 @@
 
 import asyncio
 import collections
-import collections.abc
 import dataclasses
-import itertools
 import typing
 
 import msgspec
 
-from savorybend.internal import allocators
 from savorybend.internal import borrowing
+from savorybend.internal import lenders
 from savorybend.internal import lending
 from savorybend.internal import outcomes
 from savorybend.internal import timers
 from savorybend.internal.wire import limits as messages
 
-# A question without an answer for so long is asked again.
-_ANSWER_S = 0.2
-_MOST_UNANSWERED = 5
 # A call waits this long for an allocator, should none answer at all. It
 # outlasts the change from one allocator to the next.
 _WAIT_S = 2.5
 # A call waits this long while its account is short of tokens: an account
 # inside its rate is short for a moment only, and one beyond it is told soon.
 _SHORT_S = 0.1
-# Calls that have waited for an allocator gathered meanwhile, and one that has
-# just taken over has few tokens at first, so that they wait this long more.
-_TAKEOVER_S = 1.0
 _SWEEP_S = 0.05
 _SHORTEST_RETRY_S = 0.02
 
@@ -37,8 +29,7 @@
 
     clock: timers.Clock
     timers: timers.TimerService
-    chooser: allocators.Chooser
-    data_centre: str
+    lenders: lenders.Lenders
     send: lending.Send
 
 
@@ -79,18 +70,6 @@
         self._questions = borrowing.create_questions()
         self._due: set[str] = set()
         self._sweep_later = timers.Later(parts.timers, _SWEEP_S, self._sweep)
-        self._centres: tuple[str, ...] = ()
-        self._turn = itertools.count()
-        # How often this data centre's allocator did not answer lately, and
-        # from when on it is asked again.
-        self._unanswered = 0
-        self._home_due_s = float("-inf")
-        self._patient_until_s = float("-inf")
-
-    def set_centres(self, centres: collections.abc.Iterable[str]) -> None:
-        """Names the data centres that hold shares."""
-        own = self._parts.data_centre
-        self._centres = tuple(name for name in centres if name != own)
 
     async def take(self, name: str, deadline_s: float) -> outcomes.Verdict:
         """Spends a token, waiting for one no longer than `deadline_s`."""
@@ -132,12 +111,10 @@
             if sent is None:
                 continue
             account = self._account(sent.client_account)
-            if sent.to != self._home():
+            if sent.to != self._parts.lenders.own:
                 self._on_loan_from_away(account, loan, sent, now_s)
                 continue
-            if self._unanswered:
-                self._patient_until_s = now_s + _TAKEOVER_S
-            self._unanswered = 0
+            self._parts.lenders.note_answer()
             account.borrowed.add(loan, sent.sent_s, now_s)
             self._serve(account, now_s)
             if loan.retry_after_s > _SHORT_S:
@@ -176,7 +153,7 @@
 
     def _refuse_waiters(self, account: _Account, before_s: float) -> None:
         """Refuses those who wait since `before_s` or longer."""
-        if self._parts.clock.now_s() < self._patient_until_s:
+        if self._parts.lenders.patient:
             return
         while account.waiters and account.waiters[0].since_s <= before_s:
             waiter = account.waiters.popleft()
@@ -186,7 +163,7 @@
     def _ask_if_wanted(
         self, name: str, account: _Account, now_s: float
     ) -> None:
-        besides = self._home() if self._unanswered else ""
+        besides = self._parts.lenders.silent
         if name in self._due or self._questions.about(name, besides):
             return
         if account.borrowed.wanted(len(account.waiters), now_s) <= 0:
@@ -208,7 +185,7 @@
                 wanted[name] = tokens, spare
         if not wanted:
             return
-        for allocator in self._allocators(now_s):
+        for allocator in self._parts.lenders.choose():
             asks = tuple(
                 self._questions.open(allocator, name, tokens, now_s, spare)
                 for name, (tokens, spare) in wanted.items()
@@ -216,32 +193,10 @@
             self._parts.send(allocator, messages.TokenRequest(asks))
         self._sweep_later.ask()
 
-    def _home(self) -> str:
-        return self._parts.chooser.allocator(self._parts.data_centre) or ""
-
-    def _allocators(self, now_s: float) -> list[str]:
-        """Returns whom to ask: the one here, and while it is silent another.
-
-        What owners entrusted to a lost allocator rests until it has lapsed;
-        other data centres have their shares meanwhile.
-        """
-        home = self._home()
-        if not self._unanswered:
-            return [home] if home else []
-        found = []
-        if home and now_s >= self._home_due_s:
-            self._home_due_s = now_s + _ANSWER_S
-            found.append(home)
-        if self._centres:
-            centre = self._centres[next(self._turn) % len(self._centres)]
-            away = self._parts.chooser.allocator(centre)
-            found += [away] if away else []
-        return found
-
     def _sweep(self) -> None:
         now_s = self._parts.clock.now_s()
-        for sent in self._questions.expire(_ANSWER_S, now_s):
-            self._on_unanswered(sent.to)
+        for sent in self._questions.expire(lenders.ANSWER_S, now_s):
+            self._parts.lenders.note_unanswered(sent.to)
         waiting = False
         for name, account in self._accounts.items():
             self._give_up(account, now_s)
@@ -251,15 +206,6 @@
         if waiting or self._questions.any_open:
             self._sweep_later.ask()
 
-    def _on_unanswered(self, allocator: str) -> None:
-        # The rightful one is silent too until owners have turned to it, so
-        # it is passed over only after as long as the owners take to do so.
-        if allocator != self._home():
-            return
-        self._unanswered += 1
-        if self._unanswered % _MOST_UNANSWERED == 0:
-            self._parts.chooser.suspect(allocator)
-
     def _give_up(self, account: _Account, now_s: float) -> None:
         waiters = account.waiters
         while waiters and now_s >= waiters[0].until_s:
