--- a/bench/versions.py
+++ b/bench/versions.py
@@ -5,7 +5,7 @@
 ratios is what counts: a single pause of the machine spoils one block only.
 The processor time of the daemons varies less than the latency, and shows
 smaller changes. Run it again with the two swapped: the site that was opened
-second was seen to cost up to 6% more.
+second was seen to cost up to 10% more.
 """
 
 import argparse
