Print the result of a call that a silent connection cost its answer

Cause: one row failed once with `not-run`, and pytest showed the outcome alone: whether the gate, the link or the membership refused was lost. Change: the three assertions on the outcome are as they were and show the whole result when they fail.

--- a/tests/integration/test_silent_connections.py
+++ b/tests/integration/test_silent_connections.py
@@ -87,7 +87,7 @@
     await asyncio.sleep(after_s)
     _silence(pair, fault)
     result = await call
-    assert result.outcome == "ran"
+    assert result.outcome == "ran", result
     assert json.loads(result.body)["request_id"] == result.request_id
     assert await _runs(pair, result.request_id) == 1
 
@@ -126,7 +126,7 @@
         data=parts(),
         timeout_s=_DEADLINE_S,
     )
-    assert result.outcome == "ran"
+    assert result.outcome == "ran", result
     assert json.loads(result.body)["body_sha256"] == sent.hexdigest()
     assert await _runs(pair, result.request_id) == 1
 
@@ -140,7 +140,7 @@
     await asyncio.sleep(2.0)
     pair.resume("back-1")
     for result in await asyncio.gather(*calls):
-        assert result.outcome == "ran"
+        assert result.outcome == "ran", result
         assert await _runs(pair, result.request_id) == 1
 
 
