Settle a claimed name before its daemon is told to come in

It connected, was refused, and that connection stayed useless for seconds, so a call over it ended as unknown. Ruled out: a slow spread (all three peers knew the new start 0.68 s after the kill, by hand). Change: the door asks the platform about a claimed name at once, for at most 1 s, before it answers the introduction. While the platform is out a daemon that was killed and started again still connects too early at first.

--- a/src/savorybend/internal/fleet.py
+++ b/src/savorybend/internal/fleet.py
@@ -23,6 +23,7 @@
 from savorybend.internal import succession
 from savorybend.internal import sweeping
 from savorybend.internal import timers
+from savorybend.internal.wire import membership as wire
 
 # Lets the last messages out before the connections close.
 _LAST_WORD_S = 0.2
@@ -65,7 +66,7 @@
             )
         )
         self._door = joining.create_door(
-            parts.settings.fleet_secret, clock, self._bootstrap.answer
+            parts.settings.fleet_secret, clock, self._admit
         )
         self._succession = succession.create_succession(
             self._membership.roster, parts.store, parts.rng
@@ -107,6 +108,11 @@
             self._watcher.run(),
         ]
 
+    async def _admit(self, request: wire.JoinRequest) -> wire.JoinReply:
+        reply = self._bootstrap.answer(request)
+        await self._succession.admit(request.record.name)
+        return reply
+
     def set_draining(self, draining: bool) -> None:
         """Tells the fleet whether this daemon takes new work."""
         state = members.DRAINING if draining else members.SERVING
--- a/src/savorybend/internal/joining.py
+++ b/src/savorybend/internal/joining.py
@@ -35,7 +35,9 @@
 # A record is small; this bounds what a stranger may send.
 _LARGEST_REQUEST_BYTES = 16_384
 
-Answer = collections.abc.Callable[[wire.JoinRequest], wire.JoinReply]
+Answer = collections.abc.Callable[
+    [wire.JoinRequest], collections.abc.Awaitable[wire.JoinReply]
+]
 
 
 class Door:
@@ -63,7 +65,7 @@
             asked = msgspec.msgpack.decode(body, type=wire.JoinRequest)
         except msgspec.MsgspecError as error:
             return self._refuse(f"{error}: run one version of savorybend")
-        answer = msgspec.msgpack.encode(self._answer(asked))
+        answer = msgspec.msgpack.encode(await self._answer(asked))
         mac = _mac(self._secret, "reply", nonce, answer)
         return web.Response(body=answer, headers={_MAC: mac})
 
--- a/src/savorybend/internal/roster.py
+++ b/src/savorybend/internal/roster.py
@@ -172,6 +172,10 @@
                 return False
         return self._move(known, update)
 
+    def is_claimed(self, name: str) -> bool:
+        """Returns whether another key than its holder's claims a name."""
+        return name in self._claims
+
     def settle(self, name: str, announced: members.Record | None) -> None:
         """Takes the platform's word for who holds a claimed name.
 
--- a/src/savorybend/internal/succession.py
+++ b/src/savorybend/internal/succession.py
@@ -16,6 +16,8 @@
 # Leaves half of the platform's budget to the configuration and the limits,
 # however many names a hostile member claims.
 _PAUSE_S = 0.5
+# Below the time that a daemon waits for the answer to its introduction.
+_LONGEST_ADMISSION_S = 1.0
 
 _log = logs.get()
 
@@ -46,6 +48,22 @@
             for name in list(self._names):
                 await self._settle(name)
 
+    async def admit(self, name: str) -> None:
+        """Settles a claim whose daemon waits to be let in, if there is one.
+
+        That daemon goes on to connect, and a connection that is refused
+        because its key isn't known yet stays useless until it is replaced.
+        """
+        if not self._roster.is_claimed(name):
+            return
+        try:
+            async with asyncio.timeout(_LONGEST_ADMISSION_S):
+                found = await self._store.get(platform.DAEMON_KIND, name)
+        except (TimeoutError, errors.PlatformUnavailableError):
+            # The claim waits, and `run` goes on asking.
+            return
+        self._roster.settle(name, announcing.decode(found) if found else None)
+
     def _on_claim(self, name: str) -> None:
         self._names[name] = None
         self._claimed.set()
@@ -62,7 +80,7 @@
             await asyncio.sleep(self._backoff.fail())
             return
         self._backoff.reset()
-        del self._names[name]
+        self._names.pop(name, None)
         self._roster.settle(name, announcing.decode(found) if found else None)
         await asyncio.sleep(_PAUSE_S)
 
