Send two requests in each step of the random schedules

Cause: random schedules had 1 to 10 requests each, so that many showed little. Ruled out: more steps (time). Change: a sending is two, through two daemons.

--- a/tests/integration/test_schedules.py
+++ b/tests/integration/test_schedules.py
@@ -190,8 +190,10 @@
                 self.run(getattr(self.world, action)(name))
 
     async def _send(self, issuer, entry, path):
-        await self.world.take(issuer, path)
-        self.world.send(list(self.world.sent)[-1], entry)
+        # Two at once, since a schedule with few sendings shows little.
+        for address in (entry, issuer):
+            await self.world.take(issuer, path)
+            self.world.send(list(self.world.sent)[-1], address)
 
     async def _resend(self, number, entry):
         known = list(self.world.sent)
