Pass over a daemon that shed only for calls that enter

Cause: child calls of all classes share a route (roster, moves), so a class 2 or 3 call that was shed sent the class 0 calls of the route away too, to one daemon and then the other. Change: only calls of depth 0, which hear no threshold, pass it over. The new assertion fails without it.

--- a/src/savorybend/internal/choice.py
+++ b/src/savorybend/internal/choice.py
@@ -181,11 +181,15 @@
         threshold = self.threshold(daemon, call.route)
         if admission.part_admitted(call.priority, threshold) < 1:
             return False
-        # A call that enters hears no threshold of the gate that refuses it.
-        if self._load(daemon).sheds(call.route, self._clock.now_s()):
+        if call.depth == 0 and self._sheds(daemon, call.route):
             return False
         return not self._suspect(daemon)
 
+    def _sheds(self, daemon: str, route: str) -> bool:
+        # A call that enters hears no threshold of the gate that refuses it;
+        # child calls do, and go on to it by their class.
+        return self._load(daemon).sheds(route, self._clock.now_s())
+
     def _best(
         self, own: members.Record, pool: list[members.Record]
     ) -> members.Record:
--- a/tests/unit/test_choice.py
+++ b/tests/unit/test_choice.py
@@ -81,6 +81,8 @@
     refusal = outcomes.refuse(outcomes.OVERLOADED)
     stage.tracker.ended(given, calls.not_run(refusal, "id", "own"))
     assert stage.counts() == {"far": 200}
+    # Calls of class 0 once left a daemon that had shed some of class 3.
+    assert stage.counts(depth=1) == {"own": 200}
     stage.clock.advance(1.0)
     assert stage.counts() == {"own": 200}
 
