--- a/bench/disturbed.py
+++ b/bench/disturbed.py
@@ -115,7 +115,7 @@
     "reports say full": Case(_report_busy),
     "reports lag by 2 s": Case(_nothing, during=_report_late),
     "announces 4x its slots": Case(_announce_more),
-    "cold start": Case(_nothing, cold_s=_COLD_S),
+    "cold start of all": Case(_nothing, cold_s=_COLD_S),
     "cold start of one": Case(_restart_one),
     "one slow but says healthy": Case(_slow_one),
     "short of room": Case(_slow_all, load_factor=_CALM_FACTOR),
