Refuse what is no request ID at the command line

Cause: `savorybendctl request show ''` asked the daemons for their list of requests and ended in a traceback (seen when a test's caller had no answer). Change: the argument is parsed at the door; exit code 2, with the remedy.

--- a/src/savorybend/internal/ctl/commands.py
+++ b/src/savorybend/internal/ctl/commands.py
@@ -11,6 +11,7 @@
 from savorybend.internal import errors
 from savorybend.internal import keys
 from savorybend.internal import platform
+from savorybend.internal import requestids
 from savorybend.internal import settings
 from savorybend.internal.ctl import configuration
 from savorybend.internal.ctl import exits
@@ -124,7 +125,7 @@
     topic = topics.add_parser("request", help="what became of requests")
     actions = topic.add_subparsers(dest="action", required=True)
     show = actions.add_parser("show", help="what became of one request")
-    show.add_argument("request_id")
+    show.add_argument("request_id", type=_request_id)
     _add_json(show)
     listing = actions.add_parser("list", help="requests seen")
     listing.add_argument("--client-account", default="")
@@ -134,6 +135,14 @@
     _add_json(listing)
 
 
+def _request_id(text: str) -> str:
+    if requestids.parse(text):
+        return text
+    raise argparse.ArgumentTypeError(
+        f"{text!r} is no request ID: copy it from Savorybend-Request-Id"
+    )
+
+
 def _add_json(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--json", action="store_true", help="print JSON")
 
--- a/tests/unit/test_command_lines.py
+++ b/tests/unit/test_command_lines.py
@@ -44,6 +44,14 @@
     assert tables.render(_ROWS, as_json=True) == snapshot
 
 
+def test_what_is_no_request_id_is_refused(capsys):
+    # An empty one once ended in a traceback.
+    with pytest.raises(SystemExit) as ended:
+        commands.run(["request", "show", ""])
+    assert ended.value.code == exits.USAGE
+    assert "Savorybend-Request-Id" in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("arguments", "code", "said"),
     [
