Try backend servers whose times aren't known

Change: the gate tells that its times aren't known before its first answer and 2 s after its last; the choice counts such a time as the least it knows.

--- a/src/savorybend/relay/gate.py
+++ b/src/savorybend/relay/gate.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 from savorybend.internal import fairqueue
@@ -22,6 +23,9 @@
 # Part of the mean time below which an answer isn't to be expected any more.
 _LEAST_PART = 0.6
 _SHORTEST_RETURN_S = 0.05
+# A backend server that answered nothing for so long may have been cold then,
+# so others are told nothing of its times and try it anew.
+_TIMES_KEPT_S = 2.0
 
 OnEnter = collections.abc.Callable[["Waiting"], None]
 OnRefuse = collections.abc.Callable[["Waiting", outcomes.NotRun], None]
@@ -99,16 +103,18 @@
         self._limit = 0
         self._running = 0
         self._times = Times()
+        self._answered_s = -math.inf
         self._queue = fairqueue.create_fair_queue(_even)
 
     @property
     def load(self) -> outcomes.Load:
         """How busy the backend server is."""
+        told = self._clock.now_s() - self._answered_s <= _TIMES_KEPT_S
         return outcomes.Load(
             self._running,
             len(self._queue),
             self._limit,
-            self._times.mean_s,
+            self._times.mean_s if told else outcomes.NOT_MEASURED_S,
             self._pressure.share,
             {},
         )
@@ -141,7 +147,8 @@
         self._running -= 1
         self._pressure.note_running(self._running, self._limit)
         if answered:
-            took_s = self._clock.now_s() - waiting.entered_s
+            self._answered_s = self._clock.now_s()
+            took_s = self._answered_s - waiting.entered_s
             self._times.note(waiting.call.route, took_s)
         self._let_in()
 
--- a/src/savorybend/relay/outcomes.py
+++ b/src/savorybend/relay/outcomes.py
@@ -21,6 +21,9 @@
 DAEMON_LOST = "daemon-lost"
 DEADLINE = "deadline"
 
+# Mean time of a backend server that answered no call lately.
+NOT_MEASURED_S = 0.0
+
 
 class Share(msgspec.Struct, array_like=True, frozen=True):
     """What part of the calls that are asked of a service may enter.
@@ -41,7 +44,7 @@
         running: Calls that it works on.
         waiting: Calls that wait beside it.
         limit: Calls that it may work on at once; 0 while it takes none.
-        mean_s: Mean time of a call, in seconds.
+        mean_s: Mean time of a call, in seconds, or `NOT_MEASURED_S`.
         part: The part of what it is asked that it can do; see `pressure`.
         shares: By route, the least share of the services that its runs call.
     """
--- a/src/savorybend/relay/placing.py
+++ b/src/savorybend/relay/placing.py
@@ -171,7 +171,9 @@
         near = [one for one in pool if one.near and self._roomy(one)]
         if len(near) == 1:
             return near[0]
-        return min(near or pool, key=lambda one: self._cost(one, now_s))
+        pool = near or pool
+        quickest_s = self._quickest_s(pool)
+        return min(pool, key=lambda one: self._cost(one, quickest_s))
 
     def _candidates(self, call: calls.Call) -> list[Candidate]:
         own = self._own()
@@ -207,10 +209,23 @@
         told = view.load.running + view.load.waiting + view.since_load
         return max(told, view.in_flight)
 
-    def _cost(self, one: Candidate, now_s: float) -> float:
+    def _load(self, one: Candidate) -> outcomes.Load | None:
+        return self._own_load() if one.own else self._view(one.daemon).load
+
+    def _quickest_s(self, pool: list[Candidate]) -> float:
+        """Returns the least mean time that is known.
+
+        One that isn't known counts as the least, so that backend servers
+        which have just joined, or had no call for a while, are tried.
+        """
+        loads = [self._load(one) for one in pool]
+        known = [load.mean_s for load in loads if load and load.mean_s]
+        return min(known, default=_FIRST_MEAN_S)
+
+    def _cost(self, one: Candidate, quickest_s: float) -> float:
         view = self._view(one.daemon)
-        load = self._own_load() if one.own else view.load
-        mean_s = load.mean_s if load is not None else _FIRST_MEAN_S
+        load = self._load(one)
+        mean_s = (load and load.mean_s) or quickest_s
         limit = max(1, load.limit if load and load.limit else one.slots)
         part = (self._work(one) + 1) / limit
         # Time in a slot, and the wait for one; a little by how full it is, so
--- a/tests/relay/test_placing.py
+++ b/tests/relay/test_placing.py
@@ -142,3 +142,22 @@
     place.placing.hear("new", joined.load)
     place.placing.hear("old", _load(2, mean_s=0.015))
     assert "new" in place.counts(50)
+
+
+def test_one_that_was_slow_while_cold_is_tried_again_when_it_had_no_calls():
+    place = _Place([samples.statement("cold"), samples.statement("old")])
+    felt = pressure.create_pressure(place.clock)
+    cold = gate.create_gate(gate.Parts(place.clock, lambda: 0.5, felt))
+    cold.set_limit(10)
+    for _ in range(5):
+        waiting = gate.Waiting(samples.call(), lambda one: None, None)
+        cold.enter(waiting)
+        place.clock.advance(0.2)
+        cold.leave(waiting, True)
+    place.placing.hear("cold", cold.load)
+    place.placing.hear("old", _load(2, mean_s=0.015))
+    assert "cold" not in place.counts(50)
+    place.clock.advance(3.0)
+    place.placing.hear("cold", cold.load)
+    place.placing.hear("old", _load(2, mean_s=0.015))
+    assert "cold" in place.counts(50)
