Fetch tokens from one bucket an account when a call needs one

Cause: an account's rate was lent to the daemons in parts by need, and each part gathered tokens where no call came. On 90 daemons a small account's part would never have been one token. Change: `lender` keeps one bucket an account; a daemon without a token at hand asks for one, which takes one message there and back, and says "over the limit" only on the lender's word. Tokens for half a second of calls are kept at hand. Until a lender is reached a daemon has its own part of the rate, and what it refuses then is 503, not 429. Settings that nobody read are gone; their test checks another bound of the same kind. Ruled out: lending more than the rate, which the operator tolerates by a tenth, but a limit is a promise of the operator's.

--- a/src/savorybend/platform/settings.py
+++ b/src/savorybend/platform/settings.py
@@ -80,14 +80,8 @@
             announcement_interval_s=names.seconds(found.heartbeat),
             store_address=_address(found.platform.address),
             grace_s=_time(bounds, "grace", 6.0),
-            drain_s=_time(bounds, "drain", 2.0),
-            acknowledge_s=_time(bounds, "ack", 4.0),
             retry_ratio=_number(bounds, "retryBudgetRatio", 0.2),
-            retry_slack=_number(bounds, "budgetSlack", 40.0),
             retry_window_s=_time(bounds, "budgetWindow", 10.0),
-            limit_window_s=_time(bounds, "quotaWindow", 5.0),
-            limit_overage_part=_number(bounds, "quotaOverage", 0.1),
-            limit_slack=_number(bounds, "quotaSlack", 20.0),
         )
     except (ValueError, IndexError, msgspec.ValidationError) as error:
         raise errors.InvalidSettingError(
--- a/src/savorybend/relay/allowance.py
+++ b/src/savorybend/relay/allowance.py
@@ -1,231 +1,281 @@
-"""Client accounts' rates and bursts, kept over the whole fleet.
+"""A daemon's tokens of client accounts, one for each call that it lets through.
 
-One daemon of those that reach each other lends every account's rate in parts,
-by what the others say is asked of them. A group lends no more than its own
-part of all known daemons, so groups that are cut off from one another stay
-within the rate together without a word between them; a loan lasts about a
-second, so what a daemon that is gone had borrowed is soon lent again.
+They are lent by the daemon that keeps the accounts' buckets, see `lender`. A
+call for which none is at hand waits for the lender's word, which takes as long
+as one message there and back. Where no word comes, the daemon falls back on
+its own part of the rate, so that the loss of a lender stops nobody.
 """
 
+import collections
 import collections.abc
-import math
+import dataclasses
 import typing
 
 from savorybend.internal import timers
 from savorybend.relay import calls
+from savorybend.relay import frames
 
 REPORT_EVERY_S = 0.4
-_LOAN_S = 1.3
+SWEEP_EVERY_S = 0.1
+# Tokens lapse where the lender hasn't been heard for so long.
+_KEPT_S = 1.3
+# Tokens are kept at hand for the calls of so much time.
+_AHEAD_S = 0.5
 _DEMAND_KEPT = 0.7
-# An account's rate is lent by need with so much to spare, for the next
-# moment's need isn't known yet.
-_HEADROOM = 1.1
-_DEVIATIONS = 1.5
-# Loans of two lenders overlap while one takes over from the other, so only
-# this part of what the operator tolerates is used up beforehand.
-_TOLERATED_PART = 0.2
-# Chance leaves some daemons with tokens that others miss; so much more is
-# lent to make up for it, well inside of what is tolerated.
-_LENT_FACTOR = 1.04
-# Part of the saved-up calls that each daemon may have whatever it was asked
-# before; the rest goes by the parts lent.
-_EVEN_PART = 0.5
-_FIRST_RETURN_S = 0.2
-_SAVED_BEFORE_S = 1.0
+_LEAST_DEMAND_PER_S = 0.01
+# A call waits so long for the lender's word, which is several times what a
+# message there and back takes.
+_PATIENCE_S = 0.2
+# Part of the rate that a daemon has on its own, saved up over so long.
+_OWN_SAVED_S = 1.0
+_SOONEST_RETURN_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class Taken:
+    """There was a token, and it is spent."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Short:
+    """There is none at hand; the lender has to be asked, see `wait`."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """There is no token.
+
+    Attributes:
+        later_s: In how many seconds there may be one.
+        beyond: Whether the account is known to be beyond its rate; otherwise
+            the lender was silent.
+    """
+
+    later_s: float
+    beyond: bool
+
+
+Verdict = Taken | Short | Refused
+
+TAKEN = Taken()
+SHORT = Short()
+
+OnVerdict = collections.abc.Callable[[Taken | Refused], None]
+
+
+class Waiter:
+    """A call that waits for the lender's word."""
+
+    __slots__ = ("account", "on_verdict", "since_s")
+
+    def __init__(
+        self,
+        account: calls.ClientAccount,
+        on_verdict: OnVerdict,
+        since_s: float,
+    ):
+        self.account = account
+        self.on_verdict: OnVerdict | None = on_verdict
+        self.since_s = since_s
+
+    @property
+    def waits(self) -> bool:
+        """Whether the verdict is still to come."""
+        return self.on_verdict is not None
+
+    def settle(self, verdict: Taken | Refused) -> None:
+        """Gives the call its verdict."""
+        on_verdict, self.on_verdict = self.on_verdict, None
+        on_verdict(verdict)
+
+    def leave(self) -> None:
+        """Says that the call isn't there any more."""
+        self.on_verdict = None
 
 
 class _Account:
     """What this daemon may still let through of an account."""
 
-    __slots__ = ("tokens", "filled_s", "part", "until_s", "asked", "demand")
+    __slots__ = (
+        "tokens",
+        "until_s",
+        "dry_until_s",
+        "asked",
+        "demand",
+        "waiting",
+        "asking_s",
+        "own_tokens",
+        "own_filled_s",
+    )
 
     def __init__(self, now_s: float):
-        # Not the whole burst: daemons that start anew together would have
-        # it twice.
-        self.tokens = 1.0
-        self.filled_s = now_s
-        self.part = 0.0
+        self.tokens = 0
         self.until_s = 0.0
+        self.dry_until_s = 0.0
         self.asked = 0
         self.demand = 0.0
+        self.waiting: collections.deque[Waiter] = collections.deque()
+        # Since when an answer of the lender is due; None if none is.
+        self.asking_s: float | None = None
+        self.own_tokens = 0.0
+        self.own_filled_s = now_s
 
 
-class Lender:
-    """Divides each account's rate among the daemons that report."""
-
-    def __init__(self, clock: timers.Clock):
-        self._clock = clock
-        self._reports: dict[str, tuple[float, dict[str, float]]] = {}
-
-    @property
-    def reporting(self) -> set[str]:
-        """Daemons that reported lately."""
-        now_s = self._clock.now_s()
-        return {
-            name
-            for name, (heard_s, _) in self._reports.items()
-            if now_s - heard_s <= _LOAN_S
-        }
+class Terms(typing.NamedTuple):
+    """What an allowance is made of.
 
-    def lend(
-        self,
-        daemon: str,
-        demand: dict[str, float],
-        rates: dict[str, float],
-        size: int,
-    ) -> dict[str, float]:
-        """Returns the part of each account's rate that a daemon may use.
+    Attributes:
+        clock: The time.
+        size: Returns how many daemons are known.
+        ask: Asks the lender; `borrow` is called with its answer, perhaps at
+            once.
+    """
 
-        Args:
-            daemon: Who reports.
-            demand: Calls a second that it is asked for, by account.
-            rates: Calls a second that each account may send.
-            size: How many daemons are known, reached or not.
-        """
-        now_s = self._clock.now_s()
-        self._reports[daemon] = (now_s, demand)
-        for name, (heard_s, _) in list(self._reports.items()):
-            if now_s - heard_s > _LOAN_S:
-                del self._reports[name]
-        group = min(1.0, len(self._reports) / max(1, size))
-        return {
-            account: self._part(daemon, account, rate, group)
-            for account, rate in rates.items()
-            if rate > 0
-        }
-
-    def _part(
-        self, daemon: str, account: str, rate: float, group: float
-    ) -> float:
-        needs = {
-            name: _need(demand.get(account, 0.0)) / rate
-            for name, (_, demand) in self._reports.items()
-        }
-        total = sum(needs.values())
-        if total >= group:
-            return group * needs[daemon] / total
-        # What nobody needs now is lent evenly, for whoever needs it next.
-        return needs[daemon] + (group - total) / len(needs)
-
-
-def _need(asked_per_s: float) -> float:
-    """Returns what covers chance on top of the mean, in calls a second."""
-    return asked_per_s * _HEADROOM + _DEVIATIONS * math.sqrt(asked_per_s)
+    clock: timers.Clock
+    size: collections.abc.Callable[[], int]
+    ask: collections.abc.Callable[[frames.Need], None]
 
 
 class Allowance:
     """Tokens of each client account at this daemon."""
 
-    def __init__(self, terms: "Terms"):
+    def __init__(self, terms: Terms):
         self._clock = terms.clock
         self._size = terms.size
-        self._tolerance = terms.tolerance
+        self._ask = terms.ask
         self._accounts: dict[str, _Account] = {}
-        self._created_s = terms.clock.now_s()
-
-    def take(self, account: calls.ClientAccount) -> float:
-        """Takes a token.
+        self._heard_s = terms.clock.now_s()
 
-        Returns:
-            0 if there was one, or else in how many seconds there may be one.
-        """
+    def take(self, account: calls.ClientAccount) -> Verdict:
+        """Spends a token, if one is at hand."""
         if account.rate_per_s <= 0:
-            return 0.0
+            return TAKEN
         now_s = self._clock.now_s()
         held = self._accounts.get(account.name)
         if held is None:
-            # What it might have saved up lately is there at once.
-            since_s = max(self._created_s, now_s - _SAVED_BEFORE_S)
-            held = self._accounts[account.name] = _Account(since_s)
+            held = self._accounts[account.name] = _Account(now_s)
         held.asked += 1
-        part = self._fill(held, account, now_s)
-        if held.tokens >= 1.0:
-            held.tokens -= 1.0
-            return 0.0
-        rate_per_s = part * account.rate_per_s
-        if rate_per_s <= 0:
-            return _FIRST_RETURN_S
-        return max(_FIRST_RETURN_S, (1.0 - held.tokens) / rate_per_s)
-
-    def demand(self, interval_s: float) -> dict[str, float]:
-        """Returns what accounts ask for, in calls a second.
+        if _spend(held, now_s):
+            return TAKEN
+        if now_s < held.dry_until_s:
+            return _refused(held, now_s)
+        return SHORT
+
+    def wait(
+        self, account: calls.ClientAccount, on_verdict: OnVerdict
+    ) -> Waiter:
+        """Asks the lender for a token, after `take` found none.
 
         Args:
-            interval_s: Time since it was last asked for, in seconds.
+            account: The account.
+            on_verdict: Called once, perhaps before this returns.
         """
-        found = {}
+        now_s = self._clock.now_s()
+        held = self._accounts[account.name]
+        waiter = Waiter(account, on_verdict, now_s)
+        held.waiting.append(waiter)
+        if held.asking_s is None:
+            held.asking_s = now_s
+            self._ask(frames.Need({account.name: len(held.waiting)}, {}))
+        return waiter
+
+    def report(self) -> None:
+        """Asks for what is expected; called once in `REPORT_EVERY_S`."""
+        ahead = {}
         for name, held in self._accounts.items():
-            latest = held.asked / interval_s
+            latest = held.asked / REPORT_EVERY_S
             held.asked = 0
             held.demand += (latest - held.demand) * (1 - _DEMAND_KEPT)
-            if held.demand > 0.01:
-                found[name] = round(held.demand, 2)
-        return found
+            missing = int(held.demand * _AHEAD_S) - held.tokens
+            if missing > 0 and held.demand > _LEAST_DEMAND_PER_S:
+                ahead[name] = missing
+        self._ask(frames.Need({}, ahead))
 
-    def borrow(self, parts: dict[str, float]) -> None:
-        """Takes the parts that the lender grants."""
+    def borrow(self, loan: frames.Loan) -> None:
+        """Takes what the lender lends."""
         now_s = self._clock.now_s()
-        for name, part in parts.items():
+        self._heard_s = now_s
+        for held in self._accounts.values():
+            if held.tokens and now_s < held.until_s:
+                held.until_s = now_s + _KEPT_S
+        for name, lent in loan.tokens.items():
             held = self._accounts.get(name)
             if held is None:
                 held = self._accounts[name] = _Account(now_s)
-            held.part = part
-            held.until_s = now_s + _LOAN_S
-
-    def _fill(
-        self, held: _Account, account: calls.ClientAccount, now_s: float
-    ) -> float:
-        even = 1.0 / max(1, self._size())
-        part = held.part if now_s < held.until_s else even
-        saved = (
-            account.burst + self._tolerance.beyond(account) * _TOLERATED_PART
-        )
-        most = saved * (even * _EVEN_PART + part * (1 - _EVEN_PART))
-        rate_per_s = account.rate_per_s * _LENT_FACTOR
-        gained = (now_s - held.filled_s) * rate_per_s * part
-        held.tokens = min(most, held.tokens + gained)
-        held.filled_s = now_s
-        return part
-
-
-class Tolerance(typing.NamedTuple):
-    """What operators tolerate above an account's rate and burst.
-
-    Attributes:
-        window_s: The window that they look at, in seconds.
-        part: Part of what the account may send in it.
-        calls: Calls beyond that.
-    """
-
-    window_s: float
-    part: float
-    calls: float
-
-    def beyond(self, account: calls.ClientAccount) -> float:
-        """Returns the calls tolerated above an account's rate and burst."""
-        allowed = account.rate_per_s * self.window_s + account.burst
-        return allowed * self.part + self.calls
-
-
-class Terms(typing.NamedTuple):
-    """How an allowance knows the fleet's size.
-
-    Attributes:
-        clock: The time.
-        size: Returns how many daemons are known.
-        tolerance: What operators tolerate above rate and burst.
-    """
+            if now_s >= held.until_s:
+                held.tokens = 0
+            held.tokens += lent
+            held.until_s = now_s + _KEPT_S
+        for name, dry_s in loan.dry_s.items():
+            held = self._accounts.get(name)
+            if held is not None:
+                held.dry_until_s = now_s + dry_s
+        for name in {**loan.tokens, **loan.dry_s}:
+            self._settle(name, now_s)
 
-    clock: timers.Clock
-    size: collections.abc.Callable[[], int]
-    tolerance: Tolerance
+    def sweep(self) -> None:
+        """Settles calls that wait in vain; called in `SWEEP_EVERY_S`."""
+        now_s = self._clock.now_s()
+        for held in self._accounts.values():
+            while held.waiting:
+                waiter = held.waiting[0]
+                if now_s - waiter.since_s < _PATIENCE_S:
+                    break
+                held.waiting.popleft()
+                held.asking_s = None
+                self._decide_alone(held, waiter, now_s)
+
+    def _settle(self, name: str, now_s: float) -> None:
+        held = self._accounts[name]
+        held.asking_s = None
+        while held.waiting:
+            waiter = held.waiting[0]
+            if not waiter.waits:
+                held.waiting.popleft()
+            elif _spend(held, now_s):
+                held.waiting.popleft().settle(TAKEN)
+            elif now_s < held.dry_until_s:
+                held.waiting.popleft().settle(_refused(held, now_s))
+            else:
+                break
+        if held.waiting and held.asking_s is None:
+            held.asking_s = now_s
+            self._ask(frames.Need({name: len(held.waiting)}, {}))
+
+    def _decide_alone(
+        self, held: _Account, waiter: Waiter, now_s: float
+    ) -> None:
+        """Lets a call through by this daemon's own part of the rate."""
+        if not waiter.waits:
+            return
+        if held.own_filled_s < self._heard_s:
+            # The lender had all of the rate until then.
+            held.own_filled_s = self._heard_s
+            held.own_tokens = 0.0
+        rate_per_s = waiter.account.rate_per_s / max(1, self._size())
+        gained = (now_s - held.own_filled_s) * rate_per_s
+        most = max(1.0, rate_per_s * _OWN_SAVED_S)
+        held.own_tokens = min(most, held.own_tokens + gained)
+        held.own_filled_s = now_s
+        if held.own_tokens >= 1.0:
+            held.own_tokens -= 1.0
+            waiter.settle(TAKEN)
+        else:
+            waiter.settle(Refused(_SOONEST_RETURN_S, beyond=False))
+
+
+def _spend(held: _Account, now_s: float) -> bool:
+    if held.tokens < 1 or now_s >= held.until_s:
+        return False
+    held.tokens -= 1
+    return True
+
+
+def _refused(held: _Account, now_s: float) -> Refused:
+    later_s = max(_SOONEST_RETURN_S, held.dry_until_s - now_s)
+    return Refused(later_s, beyond=True)
 
 
 def create_allowance(terms: Terms) -> Allowance:
     """Returns an allowance that has borrowed nothing yet."""
     return Allowance(terms)
-
-
-def create_lender(clock: timers.Clock) -> Lender:
-    """Returns a lender that has heard nobody yet."""
-    return Lender(clock)
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -161,13 +161,7 @@
         )
         self._allowance = allowance.create_allowance(
             allowance.Terms(
-                clock,
-                lambda: self._directory.size,
-                allowance.Tolerance(
-                    found.limit_window_s,
-                    found.limit_overage_part,
-                    found.limit_slack,
-                ),
+                clock, lambda: self._directory.size, self._fleet.ask_lender
             )
         )
         self._reception = self._fleet.connect(
--- a/src/savorybend/relay/directory.py
+++ b/src/savorybend/relay/directory.py
@@ -23,6 +23,7 @@
         self._own = own
         self._statements: dict[str, frames.Statement] = {}
         self._by_service: dict[str, list[frames.Statement]] = {}
+        self._names: list[str] = []
         self._removed: dict[str, tuple[int, int]] = {}
         self._listeners: list[Listener] = []
 
@@ -31,6 +32,11 @@
         """How many daemons there are, with this one."""
         return len(self._statements) + 1
 
+    @property
+    def names(self) -> list[str]:
+        """Names of the other daemons, in order."""
+        return self._names
+
     def subscribe(self, listener: Listener) -> None:
         """Calls `listener` with each statement that is news."""
         self._listeners.append(listener)
@@ -92,6 +98,7 @@
         for statement in self._statements.values():
             index.setdefault(statement.service, []).append(statement)
         self._by_service = index
+        self._names = sorted(self._statements)
 
 
 def create_directory(own: str) -> Directory:
--- a/src/savorybend/relay/entry.py
+++ b/src/savorybend/relay/entry.py
@@ -1,10 +1,12 @@
 """Where calls enter: route, key, limits, and what can be done at all."""
 
 import math
+import typing
 
 import structlog
 
 from savorybend.internal import sentinels
+from savorybend.relay import allowance
 from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import outcomes
@@ -26,6 +28,15 @@
 _log = structlog.get_logger()
 
 
+class _Asked(typing.NamedTuple):
+    """A request that has a route, on its way to becoming a call."""
+
+    exchange: callers.Exchange
+    incoming: calls.Incoming
+    route: calls.Route
+    arrived_s: float
+
+
 class Entry:
     """Takes callers' requests."""
 
@@ -48,38 +59,80 @@
         if isinstance(route, sentinels.Absence):
             self._turn_away(exchange, incoming, _NOT_FOUND, "no-route")
             return
-        account = None
-        if not route.open_to_all:
-            if not self._parts.takes_calls():
-                # What a running request calls goes on: it has a right to end.
-                self._turn_away(
-                    exchange, incoming, _UNAVAILABLE, "leaving", _RETURN_S
-                )
-                return
-            name = configuration.keys.get(incoming.key)
-            if name is None:
-                self._turn_away(exchange, incoming, _UNAUTHORIZED, "no-key")
-                return
-            account = configuration.accounts[name]
-            later_s = self._parts.allowance.take(account)
-            if later_s > 0:
-                self._turn_away(
-                    exchange,
-                    incoming,
-                    _TOO_MANY_REQUESTS,
-                    "over-limit",
-                    later_s,
-                    name,
-                )
-                return
-        call = self._create_call(incoming, route, account)
+        asked = _Asked(
+            exchange, incoming, route, self._parts.timers.clock.now_s()
+        )
+        if route.open_to_all:
+            self._begin(asked, None)
+            return
+        if not self._parts.takes_calls():
+            # What a running request calls goes on: it has a right to end.
+            self._turn_away(
+                exchange, incoming, _UNAVAILABLE, "leaving", _RETURN_S
+            )
+            return
+        name = configuration.keys.get(incoming.key)
+        if name is None:
+            self._turn_away(exchange, incoming, _UNAUTHORIZED, "no-key")
+            return
+        self._take_token(asked, configuration.accounts[name])
+
+    def _take_token(
+        self, asked: "_Asked", account: calls.ClientAccount
+    ) -> None:
+        match self._parts.allowance.take(account):
+            case allowance.Taken():
+                self._begin(asked, account)
+            case allowance.Refused() as refused:
+                self._turn_away_beyond(asked, account, refused)
+            case allowance.Short():
+                self._wait_for_token(asked, account)
+
+    def _wait_for_token(
+        self, asked: "_Asked", account: calls.ClientAccount
+    ) -> None:
+        exchange = asked.exchange
+
+        def on_verdict(verdict: allowance.Taken | allowance.Refused) -> None:
+            exchange.on_gone = None
+            match verdict:
+                case allowance.Taken():
+                    self._begin(asked, account)
+                case allowance.Refused():
+                    self._turn_away_beyond(asked, account, verdict)
+
+        waiter = self._parts.allowance.wait(account, on_verdict)
+        if waiter.waits:
+            exchange.on_gone = waiter.leave
+
+    def _begin(
+        self, asked: "_Asked", account: calls.ClientAccount | None
+    ) -> None:
+        """Admits a call or refuses it, once its account has a token for it."""
+        call = self._create_call(asked, account)
         if account is not None:
             self._parts.budget.note_call(call.service)
             part = self._parts.admission.part(call)
             if part < pressure.ALL and self._parts.spread() >= part:
-                self._refuse(exchange, incoming, call, part)
+                self._refuse(asked.exchange, asked.incoming, call, part)
                 return
-        passage.Passage(self._parts, exchange, call, route).begin()
+        passage.Passage(self._parts, asked.exchange, call, asked.route).begin()
+
+    def _turn_away_beyond(
+        self,
+        asked: "_Asked",
+        account: calls.ClientAccount,
+        refused: allowance.Refused,
+    ) -> None:
+        status = _TOO_MANY_REQUESTS if refused.beyond else _UNAVAILABLE
+        self._turn_away(
+            asked.exchange,
+            asked.incoming,
+            status,
+            "over-limit" if refused.beyond else "lender-silent",
+            refused.later_s,
+            account.name,
+        )
 
     def _refuse(
         self,
@@ -111,11 +164,9 @@
         exchange.reply(_UNAVAILABLE, head, b"")
 
     def _create_call(
-        self,
-        incoming: calls.Incoming,
-        route: calls.Route,
-        account: calls.ClientAccount | None,
+        self, asked: "_Asked", account: calls.ClientAccount | None
     ) -> calls.Call:
+        incoming, route = asked.incoming, asked.route
         name = account.name if account else calls.NO_ACCOUNT
         left_s = incoming.left_s
         left_s = _DEFAULT_LEFT_S if left_s is None else left_s
@@ -135,7 +186,7 @@
             call.priority = pressure.class_of(account.priority, route.priority)
         else:
             self._adopt(call)
-        call.deadline_s = self._parts.timers.clock.now_s() + left_s
+        call.deadline_s = asked.arrived_s + left_s
         call.patience_s = route.target_latency_s
         return call
 
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -11,6 +11,7 @@
 from savorybend.relay import catalog
 from savorybend.relay import directory
 from savorybend.relay import frames
+from savorybend.relay import lender
 from savorybend.relay import links
 from savorybend.relay import outcomes
 from savorybend.relay import placing
@@ -21,6 +22,8 @@
 # Connections that stand also while no calls go over them: enough for news to
 # reach everybody, few enough for a thousand daemons.
 _NEIGHBOURS = 4
+# The lender, and the one that takes its place, are asked in a hurry.
+_LENDERS = 2
 # A daemon whose answer to a ping is missing for so long counts as out of reach.
 _PING_GRACE_S = 0.8
 
@@ -55,7 +58,7 @@
         self._links: dict[str, links.Link] = {}
         # Unique in one start of this daemon; others know starts by their boot.
         self._numbers = itertools.count(1)
-        self._lender = allowance.create_lender(self._clock)
+        self._lender = lender.create_lender(self._clock)
         self._users: Users | None = None
         self._fetching_s = 0.0
         self._link_parts = links.Parts(
@@ -69,7 +72,10 @@
     def connect(self, users: Users) -> reception.Reception:
         """Begins; returns the connections that other daemons dial."""
         self._users = users
-        self._parts.timers.every(allowance.REPORT_EVERY_S, self._report)
+        self._parts.timers.every(
+            allowance.REPORT_EVERY_S, users.allowance.report
+        )
+        self._parts.timers.every(allowance.SWEEP_EVERY_S, users.allowance.sweep)
         return reception.Reception(self._link_parts, users.serving)
 
     def link(self, daemon: str) -> links.Link:
@@ -147,20 +153,20 @@
                     )
             case frames.ConfigurationDocument(document=document):
                 self._parts.catalog.offer(document, daemon)
-            case frames.Demand(per_s=per_s):
-                reply(frames.Grant(self._lend(daemon, per_s)))
-            case frames.Grant(parts=parts):
-                self._users.allowance.borrow(parts)
+            case frames.Need():
+                reply(self._lend(daemon, message))
+            case frames.Loan():
+                self._users.allowance.borrow(message)
             case frames.Suspicion(digest=digest, crashes=crashes):
                 self._users.suspects.hear(digest, crashes)
 
-    def _report(self) -> None:
-        demand = self._users.allowance.demand(allowance.REPORT_EVERY_S)
-        lender = self._lender_name()
-        if lender == self._parts.own.statement.daemon:
-            self._users.allowance.borrow(self._lend(lender, demand))
+    def ask_lender(self, need: frames.Need) -> None:
+        """Asks the lender for tokens of client accounts."""
+        name = self._lender_name()
+        if name == self._parts.own.statement.daemon:
+            self._users.allowance.borrow(self._lend(name, need))
             return
-        self.link(lender).tell_when_up(frames.Demand(demand))
+        self.link(name).tell_when_up(need)
 
     def reporting(self) -> set[str] | None:
         """Returns who reported to this daemon lately, if it is the lender."""
@@ -178,33 +184,28 @@
     def _lender_name(self) -> str:
         """Returns the first daemon by name that is reached."""
         own = self._parts.own.statement.daemon
-        names = sorted(one.daemon for one in self._parts.directory.all())
-        for name in names:
+        for name in self._parts.directory.names:
             if name > own:
                 break
             if not self.unreachable(name):
                 return name
         return own
 
-    def _lend(self, daemon: str, demand: dict[str, float]) -> dict[str, float]:
+    def _lend(self, daemon: str, need: frames.Need) -> frames.Loan:
         current = self._parts.catalog.current
         if not current:
-            return {}
-        rates = {
-            name: account.rate_per_s
-            for name, account in current.accounts.items()
-        }
+            return frames.Loan({}, {})
         return self._lender.lend(
-            daemon, demand, rates, self._parts.directory.size
+            daemon, need, current.accounts, self._parts.directory.size
         )
 
     def _choose_neighbours(self) -> None:
         """Keeps links to the next daemons in the order of names."""
         own = self._parts.own.statement.daemon
-        names = sorted(one.daemon for one in self._parts.directory.all())
+        names = self._parts.directory.names
         after = [name for name in names if name > own]
         ring = after + [name for name in names if name < own]
-        chosen = set(ring[:_NEIGHBOURS])
+        chosen = {*ring[:_NEIGHBOURS], *names[:_LENDERS]}
         for name in chosen:
             self.link(name).keep(True)
         for name, link in self._links.items():
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -162,24 +162,29 @@
     document: bytes
 
 
-class Demand(msgspec.Struct, array_like=True, tag=19):
-    """What client accounts ask of a daemon, told to the lender.
+class Need(msgspec.Struct, array_like=True, tag=19):
+    """What a daemon asks the lender for, by client account.
 
     Attributes:
-        per_s: Calls a second by client account.
+        wanted: Tokens that calls wait for.
+        ahead: Tokens for calls that are expected.
     """
 
-    per_s: dict[str, float]
+    wanted: dict[str, int]
+    ahead: dict[str, int]
 
 
-class Grant(msgspec.Struct, array_like=True, tag=20):
-    """The lender's answer to a `Demand`.
+class Loan(msgspec.Struct, array_like=True, tag=20):
+    """The lender's answer to a `Need`, by client account.
 
     Attributes:
-        parts: By client account, the part of its rate, from 0 to 1.
+        tokens: Tokens, each good for one call.
+        dry_s: Where less was lent than is wanted: in how many seconds it is
+            worth asking again.
     """
 
-    parts: dict[str, float]
+    tokens: dict[str, int]
+    dry_s: dict[str, float]
 
 
 class Suspicion(msgspec.Struct, array_like=True, tag=21):
@@ -204,8 +209,8 @@
     | Resume
     | FetchConfiguration
     | ConfigurationDocument
-    | Demand
-    | Grant
+    | Need
+    | Loan
     | Suspicion
 )
 
--- a/src/savorybend/relay/settings.py
+++ b/src/savorybend/relay/settings.py
@@ -27,16 +27,8 @@
         announcement_interval_s: How often it does, in seconds.
         store_address: Where the platform's store listens.
         grace_s: How long a stop may take, in seconds.
-        drain_s: How long a backend server that leaves may get new calls, in
-            seconds.
-        acknowledge_s: How long it waits for an acknowledgement, in seconds.
         retry_ratio: Repeats that each call may cause, over the whole fleet.
-        retry_slack: Repeats allowed beyond that in each window.
         retry_window_s: The window, in seconds.
-        limit_window_s: The window in which limits are looked at, in seconds.
-        limit_overage_part: Part of an account's calls in that window that is
-            tolerated above its limit.
-        limit_slack: Calls tolerated above that in each window.
     """
 
     name: str
@@ -52,11 +44,5 @@
     announcement_interval_s: float
     store_address: Address
     grace_s: float
-    drain_s: float
-    acknowledge_s: float
     retry_ratio: float
-    retry_slack: float
     retry_window_s: float
-    limit_window_s: float
-    limit_overage_part: float
-    limit_slack: float
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -58,7 +58,7 @@
     assert found.peer_port == 7000
     assert found.announcement_interval_s == 1.5
     assert found.grace_s == 6.0
-    assert found.limit_slack == 20.0
+    assert found.retry_ratio == 0.2
     assert found.max_descriptors == 4100
 
 
@@ -68,7 +68,7 @@
         _SETTINGS.replace('"1500ms"', '"soon"'),
         _SETTINGS.replace("[7000,7015]", "[]"),
         _SETTINGS.replace('ip = "10.1.0.26"', ""),
-        _SETTINGS.replace("quotaSlack=20", "quotaSlack=few"),
+        _SETTINGS.replace("retryBudgetRatio=0.2", "retryBudgetRatio=few"),
         "not toml at all",
     ],
 )
--- a/tests/relay/test_entry.py
+++ b/tests/relay/test_entry.py
@@ -11,6 +11,8 @@
 from savorybend.relay import catalog
 from savorybend.relay import counters
 from savorybend.relay import entry
+from savorybend.relay import frames
+from savorybend.relay import lender
 from savorybend.relay import outcomes
 from savorybend.relay import passage
 from savorybend.relay import placing
@@ -114,6 +116,9 @@
     def ended(self, daemon, outcome):
         pass
 
+    def answered(self, daemon, route, took_s):
+        pass
+
 
 class _Place:
     def __init__(self, targets, idempotent=True, rate_per_s=0.0, reserve=5.0):
@@ -139,18 +144,17 @@
         self.catalog = catalog.create_catalog(lambda document: configuration)
         self.catalog.offer(b"", "test")
         self.placing = _Placing(list(targets))
+        self.lender = lender.create_lender(self.clock)
+        self.lender_answers = True
+        self.allowance = allowance.create_allowance(
+            allowance.Terms(self.clock, lambda: 1, self._ask_lender)
+        )
         self.callees = pressure.create_callees(self.clock, self.placing.share)
         self.entry = entry.create_entry(
             passage.Parts(
                 codec=_Codec(),
                 catalog=self.catalog,
-                allowance=allowance.create_allowance(
-                    allowance.Terms(
-                        self.clock,
-                        lambda: 1,
-                        allowance.Tolerance(5.0, 0.0, 0.0),
-                    )
-                ),
+                allowance=self.allowance,
                 placing=typing.cast(placing.Placing, self.placing),
                 target=self.targets.__getitem__,
                 budget=retrybudget.create_retry_budget(
@@ -169,6 +173,11 @@
             )
         )
 
+    def _ask_lender(self, need):
+        if self.lender_answers:
+            accounts = self.catalog.current.accounts
+            self.allowance.borrow(self.lender.lend("me", need, accounts, 1))
+
     def send(self, **headers):
         headers.setdefault("key", b"k")
         exchange = _Exchange(**headers)
@@ -318,3 +327,50 @@
     child.target = b"/open/x"
     place.entry.handle(child)
     assert child.status == 200
+
+
+def test_a_call_without_a_token_waits_for_the_lenders_word():
+    place = _Place({"a": _Target(_RAN)}, rate_per_s=2.0)
+    place.clock.advance(2.0)
+    place.lender_answers = False
+    exchange = place.send()
+    assert exchange.answer is None
+    loan = place.lender.lend(
+        "me",
+        frames.Need({"maruyama": 1}, {}),
+        place.catalog.current.accounts,
+        1,
+    )
+    place.allowance.borrow(loan)
+    assert exchange.status == 200
+
+
+def test_a_caller_that_leaves_while_it_waits_for_a_token_starts_nothing():
+    target = _Target(_RAN)
+    place = _Place({"a": target}, rate_per_s=2.0)
+    place.clock.advance(2.0)
+    place.lender_answers = False
+    exchange = place.send()
+    exchange.on_gone()
+    place.allowance.borrow(frames.Loan({"maruyama": 1}, {}))
+    assert target.given == []
+
+
+def test_time_spent_waiting_for_a_token_is_taken_off_the_callers():
+    target = _Target(_RAN)
+    place = _Place({"a": target}, rate_per_s=2.0)
+    place.lender_answers = False
+    arrived_s = place.clock.now_s()
+    place.send()
+    place.clock.advance(0.1)
+    place.allowance.borrow(frames.Loan({"maruyama": 1}, {}))
+    assert target.given[0][0].deadline_s <= arrived_s + 5.0
+
+
+def test_a_silent_lender_is_no_reason_to_say_over_the_limit():
+    place = _Place({"a": _Target(_RAN)}, rate_per_s=2.0)
+    place.lender_answers = False
+    exchange = place.send()
+    place.clock.advance(0.3)
+    place.allowance.sweep()
+    assert exchange.status == 503
