Let others use a backend server while its daemon waits for callers to go

Cause: a daemon that is stopped told the others at once that its backend server takes nothing more, and then stayed 2.6 s for its callers to be sent elsewhere. Ruled out: the restart (0.74 s) and finding the daemon again. Change: for the first 2 s of a stop other daemons go on using the backend server; then it is told, and what is under way ends as before. The test failed before. Two small ones besides: a daemon that hasn't seen the store's list takes the fleet for 8 daemons at least, so that those that start together don't each lend all of a rate; and its first record waits 2 s for the announcement of its backend server, so that it is written once.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -43,6 +43,8 @@
 from savorybend.relay import watchdog
 
 _RESTORE_S = 1.0
+# A daemon whose backend server is silent says after so long that it is there.
+_FIRST_RECORD_S = 2.0
 _REMOVE_S = 0.3
 _TICK_S = 0.1
 _SLOW_TICK_S = 1.0
@@ -148,7 +150,7 @@
                 suspects=self._suspects,
                 watchdog=self._watchdog,
                 clock=clock,
-                takes_calls=self._takes_calls,
+                takes_calls=self._serves,
             )
         )
         self._placing = placing.Placing(
@@ -229,6 +231,7 @@
             leaving.Parts(
                 callers=self._callers,
                 busy=self._busy,
+                withdraw=self._withdraw,
                 clock=clock,
                 grace_s=found.grace_s,
             )
@@ -292,6 +295,9 @@
     def _takes_calls(self) -> bool:
         return self._leaving.takes_calls
 
+    def _serves(self) -> bool:
+        return self._leaving.serves
+
     def _busy(self) -> int:
         return self._callers.busy + self._reception.busy + self._serving.busy
 
@@ -321,7 +327,6 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
     async def _restore(self) -> None:
-        writer = self._publisher.run()
         try:
             async with asyncio.timeout(_RESTORE_S):
                 record = await self._publisher.restore()
@@ -330,8 +335,11 @@
                 self._server.restore(presence.known_from(record))
         except (errors.SavorybendError, TimeoutError) as error:
             _log.warning("record_not_restored", error=repr(error))
+        self._start(self._publisher.run())
+        if self._server.current is None:
+            # Its announcement mostly comes soon, and would be a second write.
+            await asyncio.sleep(_FIRST_RECORD_S)
         self._publish()
-        await writer
 
     def _publish(self) -> None:
         current = self._server.current
@@ -363,6 +371,8 @@
         if self._leaving.begun:
             return
         self._leaving.begin()
+
+    def _withdraw(self) -> None:
         self._own.leave()
         self._reception.announce()
         self._publish()
--- a/src/savorybend/relay/directory.py
+++ b/src/savorybend/relay/directory.py
@@ -11,6 +11,11 @@
 ABSENT = "absent"
 LOST = "lost"
 
+# A daemon that hasn't seen the store's list takes the fleet for this large at
+# least: it would use all of every client account's rate if it thought itself
+# alone, and so would all others that start with it.
+_ASSUMED_SIZE = 8
+
 _log = structlog.get_logger()
 
 Listener = collections.abc.Callable[[frames.Statement], None]
@@ -24,13 +29,15 @@
         self._statements: dict[str, frames.Statement] = {}
         self._by_service: dict[str, list[frames.Statement]] = {}
         self._names: list[str] = []
+        self._listed = False
         self._removed: dict[str, tuple[int, int]] = {}
         self._listeners: list[Listener] = []
 
     @property
     def size(self) -> int:
         """How many daemons there are, with this one."""
-        return len(self._statements) + 1
+        known = len(self._statements) + 1
+        return known if self._listed else max(known, _ASSUMED_SIZE)
 
     @property
     def names(self) -> list[str]:
@@ -84,6 +91,10 @@
             listener(statement)
         return True
 
+    def note_listed(self) -> None:
+        """Notes that the store's list of daemons was seen."""
+        self._listed = True
+
     def remove(self, name: str, source: str) -> None:
         """Forgets a daemon that is gone for good."""
         statement = self._statements.pop(name, None)
--- a/src/savorybend/relay/records.py
+++ b/src/savorybend/relay/records.py
@@ -49,6 +49,7 @@
     def on_daemons(self, listing: store.Listing) -> None:
         """Takes all daemons' records; who has none is gone."""
         self.on_daemon_changes(listing)
+        self._parts.directory.note_listed()
         kept = {found.name for found in listing.objects}
         for statement in self._parts.directory.all():
             if statement.daemon not in kept:
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -201,6 +201,20 @@
         assert await fleet.machines[0].ended() == 0
 
 
+async def test_a_daemon_that_stops_lets_others_use_its_backend_server(fleet):
+    # Each was out of use for all of its stop, and daemons that were stopped
+    # one a second left a service of three backend servers with none.
+    stopping, other = fleet.machines[:2]
+    other.worker.draining = True
+    assert await other.worker.announce() == 200
+    stopping.signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    assert not await stopping.ready()
+    status, _, _ = await fleet.call(other, "/reads/x", "meanwhile")
+    assert status == 200
+    assert "meanwhile" in stopping.worker.ran
+
+
 async def test_nothing_that_comes_late_in_a_stop_is_begun_and_cut(fleet):
     leaving = fleet.machines[0]
     leaving.worker.hold_s = 30.0
