Gather news of daemons by the size of the fleet

Cause: each record that a daemon writes woke every daemon's watch. Ruled out: writes (two a daemon). Change: after a change a follower of records waits size/50 seconds, 3 at most, before it asks again; configurations are still followed at once. A watch waits 28 s in place of 20.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -250,7 +250,10 @@
         self._start(self._restore())
         self._start(
             presence.Follower(
-                store.CONFIGURATION, self._adapter.store, self._rng
+                store.CONFIGURATION,
+                self._adapter.store,
+                self._rng,
+                presence.no_pause_s,
             ).run(
                 self._records.on_configurations,
                 self._records.on_configurations,
@@ -258,7 +261,10 @@
         )
         self._start(
             presence.Follower(
-                store.DAEMONS, self._adapter.store, self._rng
+                store.DAEMONS,
+                self._adapter.store,
+                self._rng,
+                lambda: presence.pause_s(self._directory.size),
             ).run(self._records.on_daemons, self._records.on_daemon_changes)
         )
         self._timers.every(_TICK_S, self._tick)
--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -1,6 +1,7 @@
 """Keeps this daemon's record on the store, and learns of others from there."""
 
 import asyncio
+import collections.abc
 import random
 
 import msgspec
@@ -15,13 +16,20 @@
 
 # A store that is silent is noticed by the system's keep-alive probes, so the
 # call may wait long, and costs little while nothing changes.
-_WATCH_S = 20.0
+_WATCH_S = 28.0
 _LONGEST_BACKOFF_S = 1.0
 # Changes that come together are told with one call.
 _GATHER_S = 0.02
+# Each change of a daemon's record wakes whoever follows the records, which is
+# every daemon: the larger the fleet, the longer each waits for more changes
+# before it asks again, so that the fleet is woken this often at most.
+_WAKES_PER_S = 50.0
+_LONGEST_PAUSE_S = 3.0
 
 _log = structlog.get_logger()
 
+PauseS = collections.abc.Callable[[], float]
+
 
 class Record(msgspec.Struct, frozen=True):
     """What the store keeps of a daemon.
@@ -207,14 +215,33 @@
                     future.set_result(None)
 
 
+def pause_s(size: int) -> float:
+    """Returns how long to gather changes of records, in seconds.
+
+    Args:
+        size: How many daemons follow them.
+    """
+    return min(_LONGEST_PAUSE_S, size / _WAKES_PER_S)
+
+
+def no_pause_s() -> float:
+    """Returns the pause where each change is wanted at once: none."""
+    return 0.0
+
+
 class Follower:
     """Follows one kind of objects, by listings and watches."""
 
     def __init__(
-        self, kind: store.Kind, client: store.Store, rng: random.Random
+        self,
+        kind: store.Kind,
+        client: store.Store,
+        rng: random.Random,
+        pause_s: PauseS,
     ):
         self._kind = kind
         self._store = client
+        self._pause_s = pause_s
         self._backoff = _create_backoff(rng)
         self._reachable = True
 
@@ -238,6 +265,8 @@
                     on_changes(listing)
                 revision = listing.revision
                 self._note_success()
+                if listing.objects or listing.deleted:
+                    await asyncio.sleep(self._pause_s())
             except store.HistoryGoneError as error:
                 _log.info(
                     "watch_restarted", kind=self._kind.name, why=str(error)
--- a/tests/relay/test_presence.py
+++ b/tests/relay/test_presence.py
@@ -136,7 +136,9 @@
             await asyncio.sleep(3600)
 
     client = _Forgetful()
-    follower = presence.Follower(store.DAEMONS, client, random.Random(1))
+    follower = presence.Follower(
+        store.DAEMONS, client, random.Random(1), presence.no_pause_s
+    )
     running = asyncio.create_task(follower.run(seen.append, seen.append))
     async with asyncio.timeout(5.0):
         while client.lists < 3:
@@ -145,6 +147,54 @@
     assert [listing.revision for listing in seen][:3] == [1, 2, 3]
 
 
+async def test_changes_that_come_together_wake_a_follower_once():
+    # 180 records that 90 daemons wrote at their start woke each of them for
+    # each: 9,645 calls to the store on a calm day, a fifth of its worth.
+    client = _Changing()
+    wakes = []
+    follower = presence.Follower(
+        store.DAEMONS, client, random.Random(1), lambda: 0.5
+    )
+    running = asyncio.create_task(follower.run(wakes.append, wakes.append))
+    for _ in range(30):
+        await client.change()
+    async with asyncio.timeout(10.0):
+        while not wakes or wakes[-1].revision < 30:
+            await asyncio.sleep(0.01)
+    running.cancel()
+    assert len(wakes) <= 4
+
+
+def test_a_small_fleet_hears_at_once_and_a_large_one_stays_within_the_rates():
+    assert presence.pause_s(3) < 0.1
+    for size in (14, 90, 300, 1000):
+        assert size / presence.pause_s(size) <= 400
+
+
+class _Changing:
+    """A store whose watches end with each change."""
+
+    def __init__(self):
+        self._revision = 0
+        self._changed = asyncio.Event()
+
+    async def change(self):
+        self._revision += 1
+        self._changed.set()
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def list(self, kind):
+        return store.Listing(self._revision, ())
+
+    async def watch(self, kind, after, wait_s):
+        while self._revision <= after:
+            self._changed.clear()
+            await self._changed.wait()
+        item = store.StoredObject("a", self._revision, b"")
+        return store.Listing(self._revision, (item,))
+
+
 def test_what_is_no_record_is_refused():
     with pytest.raises(errors.InvalidMessageError):
         presence.decode(b'{"statement":{}}')
