--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -24,6 +24,8 @@
 # every daemon: the larger the fleet, the longer each waits for more changes
 # before it asks again, so that the fleet is woken this often at most.
 _WAKES_PER_S = 50.0
+# So many daemons are woken seldom enough by themselves.
+_SMALL_FLEET = 10
 _LONGEST_PAUSE_S = 3.0
 
 _log = structlog.get_logger()
@@ -221,7 +223,8 @@
     Args:
         size: How many daemons follow them.
     """
-    return min(_LONGEST_PAUSE_S, size / _WAKES_PER_S)
+    beyond = max(0, size - _SMALL_FLEET)
+    return min(_LONGEST_PAUSE_S, beyond / _WAKES_PER_S)
 
 
 def no_pause_s() -> float:
