Wait for another token where one lapsed in a pause

Cause, by reading, of what the listed row of test_limits.py may have seen: a call that waited is given a token and resumed later; if the process pauses between the two, the token has lapsed, and the call was refused as `limited` though its account is inside its rate. Change: such a call waits again while its time lasts.

--- a/src/savorybend/internal/spending.py
+++ b/src/savorybend/internal/spending.py
@@ -84,18 +84,26 @@
             if now_s + _SHORT_S < dry_until_s:
                 return self._refuse(account, dry_until_s - now_s)
         until_s = min(deadline_s, now_s + _WAIT_S)
+        while True:
+            good_until_s = await self._wait(name, account, now_s, until_s)
+            # A pause may have come between the token and this line.
+            now_s = self._parts.clock.now_s()
+            if good_until_s is None or now_s >= until_s:
+                wait_s = account.borrowed.dry_until_s - now_s
+                return self._refuse(account, wait_s)
+            if now_s < good_until_s:
+                return self._admit(account)
+            # It lapsed meanwhile, which says nothing of the account's rate.
+
+    async def _wait(
+        self, name: str, account: _Account, now_s: float, until_s: float
+    ) -> float | None:
+        """Returns until when a token holds; None if there is none."""
         settled = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(settled, now_s, until_s)
-        account.waiters.append(waiter)
+        account.waiters.append(_Waiter(settled, now_s, until_s))
         self._ask_if_wanted(name, account, now_s)
         self._sweep_later.ask()
-        good_until_s = await waiter.settled
-        # A pause may have come between the token and this line.
-        now_s = self._parts.clock.now_s()
-        if good_until_s is not None and now_s < good_until_s:
-            return self._admit(account)
-        wait_s = account.borrowed.dry_until_s - now_s
-        return self._refuse(account, wait_s)
+        return await settled
 
     def counts(self, name: str) -> Counts:
         """Returns how an account stands."""
