--- a/tests/relay/test_allowance.py
+++ b/tests/relay/test_allowance.py
@@ -29,6 +29,7 @@
         self.size = size
         self.groups = [range(size)]
         self.silent = False
+        self.waited = 0
         self._asked = []
         self._lent = []
         self._lenders = {}
@@ -70,6 +71,10 @@
             self._reported_s = now_s
             self.report()
 
+    def restart_lenders(self):
+        """Has every lender forget what it lent."""
+        self._lenders.clear()
+
     def _lender_of(self, number):
         for group in self.groups:
             if number in group:
@@ -98,6 +103,7 @@
 
         verdict = daemon.take(account)
         if isinstance(verdict, allowance.Short):
+            self.waited += 1
             daemon.wait(account, on_verdict)
         else:
             on_verdict(verdict)
@@ -266,3 +272,64 @@
     fleet.silent = True
     passed, _ = fleet.play(account, 1.0, 80.0, rng, _anywhere(10))
     assert len(passed) >= 60
+
+
+def test_tokens_lapse_where_the_lender_is_not_heard_of():
+    # What is at hand was taken out of the bucket long ago; spent late, it
+    # would come on top of what others were lent meanwhile.
+    fleet = _Fleet(4)
+    account = calls.ClientAccount("a", None, 100.0, 100.0)
+    fleet.play(account, 4.0, 80.0, random.Random(1), _anywhere(4))
+    fleet.silent = True
+    fleet.clock.advance(2.0)
+    verdicts = [daemon.take(account) for daemon in fleet.daemons]
+    assert not any(isinstance(one, allowance.Taken) for one in verdicts)
+
+
+@hypothesis.settings(max_examples=10)
+@hypothesis.given(
+    seed=strategies.integers(0, 1000),
+    size=strategies.sampled_from([3, 14]),
+)
+def test_the_rate_holds_while_no_lender_answers(seed, size):
+    fleet = _Fleet(size)
+    account = calls.ClientAccount("a", None, 100.0, 100.0)
+    rng = random.Random(seed)
+    passed, _ = fleet.play(account, 3.0, 400.0, rng, _anywhere(size))
+    fleet.silent = True
+    alone, _ = fleet.play(account, 6.0, 400.0, rng, _anywhere(size))
+    fleet.silent = False
+    after, _ = fleet.play(account, 3.0, 400.0, rng, _anywhere(size))
+    assert _most_in_a_window(passed + alone + after) <= _bound(account)
+    # What is each daemon's own goes on.
+    assert len(alone) >= 0.8 * account.rate_per_s * 5.0
+
+
+@hypothesis.settings(max_examples=10)
+@hypothesis.given(
+    seed=strategies.integers(0, 1000),
+    rate=strategies.sampled_from([40.0, 100.0]),
+)
+def test_the_rate_holds_while_the_lender_starts_anew_again_and_again(
+    seed, rate
+):
+    # It knows nothing of what it lent before, so it must not lend a burst.
+    fleet = _Fleet(6)
+    account = calls.ClientAccount("a", None, rate, rate)
+    rng = random.Random(seed)
+    passed = []
+    for _ in range(6):
+        fleet.restart_lenders()
+        times, _ = fleet.play(account, 1.6, 4 * rate, rng, _anywhere(6))
+        passed += times
+    assert _most_in_a_window(passed) <= _bound(account)
+
+
+def test_steady_calls_find_their_tokens_at_hand():
+    fleet = _Fleet(4)
+    account = calls.ClientAccount("a", None, 200.0, 200.0)
+    rng = random.Random(1)
+    fleet.play(account, 4.0, 100.0, rng, _anywhere(4))
+    fleet.waited = 0
+    passed, _ = fleet.play(account, 10.0, 100.0, rng, _anywhere(4))
+    assert fleet.waited <= 0.1 * len(passed)
