Give this daemon's own record a module

assembly.py wired a daemon, ran it and kept its record on the store. The last is `ownrecord` now: taken over at a start, kept true, removed at the end.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -10,7 +10,6 @@
 import structlog
 
 from savorybend.internal import errors
-from savorybend.internal import sentinels
 from savorybend.internal import timers
 from savorybend.relay import absentees
 from savorybend.relay import allowance
@@ -28,6 +27,7 @@
 from savorybend.relay import logs
 from savorybend.relay import outcomes
 from savorybend.relay import own
+from savorybend.relay import ownrecord
 from savorybend.relay import passage
 from savorybend.relay import placing
 from savorybend.relay import pool
@@ -42,10 +42,6 @@
 from savorybend.relay import suspects
 from savorybend.relay import watchdog
 
-_RESTORE_S = 1.0
-# A daemon whose backend server is silent says after so long that it is there.
-_FIRST_RECORD_S = 2.0
-_REMOVE_S = 0.3
 _TICK_S = 0.1
 _SLOW_TICK_S = 1.0
 _RELOAD_TICKS = 5
@@ -124,6 +120,14 @@
         self._own = own.create_own(
             found, self._server, self._catalog, self._gate, self._callees
         )
+        self._record = ownrecord.create_own_record(
+            ownrecord.Parts(
+                own=self._own,
+                server=self._server,
+                publisher=self._publisher,
+                start=self._start,
+            )
+        )
         self._pool = pool.Pool(
             found.backend_server_address, adapter.backend, clock, self._tasks
         )
@@ -247,7 +251,7 @@
         )
         self._watch_signals()
         await self._listen()
-        self._start(self._restore())
+        self._start(self._record.take_over())
         self._start(
             presence.Follower(
                 store.CONFIGURATION,
@@ -332,37 +336,11 @@
         loop.add_signal_handler(signal.SIGINT, self._on_term)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
-    async def _restore(self) -> None:
-        try:
-            async with asyncio.timeout(_RESTORE_S):
-                record = await self._publisher.restore()
-            if not isinstance(record, sentinels.Absence):
-                self._own.note_earlier_boot(record.statement.boot)
-                self._server.restore(presence.known_from(record))
-        except (errors.SavorybendError, TimeoutError) as error:
-            _log.warning("record_not_restored", error=repr(error))
-        self._start(self._publisher.run())
-        if self._server.current is None:
-            # Its announcement mostly comes soon, and would be a second write.
-            await asyncio.sleep(_FIRST_RECORD_S)
-        self._publish()
-
-    def _publish(self) -> None:
-        current = self._server.current
-        self._publisher.publish(
-            presence.Record(
-                self._own.statement,
-                self._server.state,
-                current.born_ms if current else 0,
-                current.sequence if current else 0,
-            )
-        )
-
     def _on_server_change(self) -> None:
         self._own.change()
         self._serving.on_server_change()
         self._reception.announce()
-        self._publish()
+        self._record.publish()
 
     def _on_inquiry(self, exchange: callers.Exchange) -> None:
         if exchange.target.startswith(_METRICS_PATH):
@@ -381,7 +359,7 @@
     def _withdraw(self) -> None:
         self._own.leave()
         self._reception.announce()
-        self._publish()
+        self._record.publish()
 
     def _on_reload(self) -> None:
         try:
@@ -433,19 +411,12 @@
         if not self._server.takes_calls:
             # Its backend server is gone, and so is this VM. One that stays
             # is found at once by this daemon's next start.
-            await self._remove_record()
+            await self._record.remove()
         for task in list(self._tasks):
             task.cancel()
         _log.info("daemon_stopped", busy=self._busy())
         self._sink.flush()
 
-    async def _remove_record(self) -> None:
-        try:
-            async with asyncio.timeout(_REMOVE_S):
-                await self._publisher.remove()
-        except TimeoutError:
-            _log.warning("record_not_removed", error="no answer in time")
-
 
 def _tame_collector() -> None:
     """Has cyclic garbage looked for seldom: a call's path leaves hardly any."""
