Take uvloop back: its library sets up io_uring

Cause: our processes use no io_uring; docs/developers.md says so, "(so no uvloop)", and overlooked it. Seen on loopback with uvloop 0.23.0: the process holds anon_inode:[io_uring] and maps it, with UV_USE_IO_URING=0 too (libuv 1.52.1). Change: asyncio's loop again. Test: a real daemon holds no io_uring, one thread and no child; it failed with uvloop in its place.

--- a/src/savorybend/platform/program.py
+++ b/src/savorybend/platform/program.py
@@ -1,10 +1,9 @@
 """The daemon's program on the platform: `src/savorybend_platform.py`."""
 
+import asyncio
 import os
 import sys
 
-import uvloop
-
 from savorybend.internal import errors
 from savorybend.platform import announcements
 from savorybend.platform import configuration
@@ -38,7 +37,7 @@
         reload=lambda: settings.load(path),
     )
     try:
-        uvloop.run(assembly.run(found, adapter, sink))
+        asyncio.run(assembly.run(found, adapter, sink))
     except OSError as error:
         print(
             f"savorybendd: {error}: free the address or give another",
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -1,6 +1,8 @@
 """Calls over real daemons: whole, once, by the right account, and told true."""
 
 import asyncio
+import os
+import pathlib
 import signal
 
 import aiohttp
@@ -320,3 +322,14 @@
     said = []
     assert logs.show_request(str(fleet.folder), "late", said.append)
     assert any("reason=deadline" in text for text in said)
+
+
+async def test_a_daemon_uses_no_io_uring_no_thread_and_no_other_process(fleet):
+    # An event loop's library set an io_uring up by itself.
+    process = pathlib.Path("/proc") / str(fleet.machines[0].process.pid)
+    opened = [os.readlink(entry) for entry in (process / "fd").iterdir()]
+    assert "anon_inode:[io_uring]" not in opened
+    assert "anon_inode:[io_uring]" not in (process / "maps").read_text()
+    threads = list((process / "task").iterdir())
+    assert len(threads) == 1
+    assert not (threads[0] / "children").read_text().split()
