Ask the lender in one place, and keep a flag where no time was read

Found by reading the whole change again. A question to the lender stood twice in the allowance, and `asking_s` held a time that nobody read, only whether an answer is due.

--- a/src/savorybend/relay/allowance.py
+++ b/src/savorybend/relay/allowance.py
@@ -103,7 +103,7 @@
         "asked",
         "demand",
         "waiting",
-        "asking_s",
+        "asking",
         "own_tokens",
         "own_filled_s",
     )
@@ -115,8 +115,8 @@
         self.asked = 0
         self.demand = 0.0
         self.waiting: collections.deque[Waiter] = collections.deque()
-        # Since when an answer of the lender is due; None if none is.
-        self.asking_s: float | None = None
+        # Whether the lender's answer is due.
+        self.asking = False
         self.own_tokens = 0.0
         self.own_filled_s = now_s
 
@@ -174,9 +174,7 @@
         held = self._accounts[account.name]
         waiter = Waiter(account, on_verdict, now_s)
         held.waiting.append(waiter)
-        if held.asking_s is None:
-            held.asking_s = now_s
-            self._ask(frames.Need({account.name: len(held.waiting)}, {}))
+        self._ask_if_waiting(account.name, held)
         return waiter
 
     def report(self) -> None:
@@ -222,12 +220,12 @@
                 if now_s - waiter.since_s < _PATIENCE_S:
                     break
                 held.waiting.popleft()
-                held.asking_s = None
+                held.asking = False
                 self._decide_alone(held, waiter, now_s)
 
     def _settle(self, name: str, now_s: float) -> None:
         held = self._accounts[name]
-        held.asking_s = None
+        held.asking = False
         while held.waiting:
             waiter = held.waiting[0]
             if not waiter.waits:
@@ -238,8 +236,12 @@
                 held.waiting.popleft().settle(_refused(held, now_s))
             else:
                 break
-        if held.waiting and held.asking_s is None:
-            held.asking_s = now_s
+        self._ask_if_waiting(name, held)
+
+    def _ask_if_waiting(self, name: str, held: _Account) -> None:
+        """Asks for as many tokens as calls wait, one question at a time."""
+        if held.waiting and not held.asking:
+            held.asking = True
             self._ask(frames.Need({name: len(held.waiting)}, {}))
 
     def _decide_alone(
