Log the content of suspected requests and what daemons tell of it

Callers saw a crashing request reach more than three backend servers, and the logs could not tell whether its crashes were not heard of, not counted or cleared: no line named the content, and what a daemon heard or cleared left no line. Change: `content`, the digest, in `request_suspected`, and two new events, `suspicion_heard` and `suspicion_cleared`. No logic is changed; tests/relay/test_suspects.py passes with the added argument.

--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -180,7 +180,7 @@
             case frames.Loan():
                 self._consumers.allowance.borrow(message)
             case frames.Suspicion(digest=digest, crashes=crashes):
-                self._consumers.suspects.hear(digest, crashes)
+                self._consumers.suspects.hear(digest, crashes, daemon)
 
     def ask_lender(self, request: frames.LoanRequest) -> None:
         """Requests tokens of client accounts from the lender."""
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -69,6 +69,7 @@
             "request_suspected",
             request_id=call.request_id,
             route=call.route,
+            content=content.hex(),
             instance=instance,
             deaths=suspect.deaths,
         )
@@ -78,22 +79,45 @@
         if not self._suspects:
             return
         content = digest(call)
-        if self._suspects.pop(content, None) is not None:
+        suspect = self._suspects.pop(content, None)
+        if suspect is not None:
             self._tell(content, 0)
-
-    def hear(self, content: bytes, deaths: int) -> None:
+            _log.info(
+                "suspicion_cleared",
+                request_id=call.request_id,
+                content=content.hex(),
+                deaths=suspect.deaths,
+                source="answer",
+            )
+
+    def hear(self, content: bytes, deaths: int, source: str) -> None:
         """Applies a report from another daemon.
 
         Args:
             content: Digest of the request.
             deaths: Deaths known to the other daemon; 0 clears the suspect.
+            source: Name of the other daemon, for the log.
         """
         if deaths == 0:
-            self._suspects.pop(content, None)
+            suspect = self._suspects.pop(content, None)
+            if suspect is not None:
+                _log.info(
+                    "suspicion_cleared",
+                    content=content.hex(),
+                    deaths=suspect.deaths,
+                    source=source,
+                )
             return
         suspect = self._suspects.get(content) or self._add(content)
         suspect.deaths = max(suspect.deaths + 1, deaths)
         suspect.last_s = self._clock.now_s()
+        _log.info(
+            "suspicion_heard",
+            content=content.hex(),
+            deaths=suspect.deaths,
+            told=deaths,
+            source=source,
+        )
 
     def _add(self, content: bytes) -> _Suspect:
         suspect = self._suspects[content] = _Suspect()
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -39,7 +39,7 @@
 def test_deaths_that_others_tell_of_count_too():
     held = _suspects()
     content = suspects.digest(samples.call())
-    held.hear(content, 1)
-    held.hear(content, 1)
+    held.hear(content, 1, "b")
+    held.hear(content, 1, "b")
     held.note_death(samples.call(), "a")
     assert held.quarantined(samples.call())
