--- a/standins/worker.py
+++ b/standins/worker.py
@@ -24,6 +24,12 @@
         instance: Its ID.
         hold_s: How long it works on each request.
         hold: Set to let requests that wait for it go on.
+        crash_path: A request with this path ends the process; empty for none.
+        crash_after_s: How long it works on such a request before that.
+        crash_silently: Whether its connections stay open after a crash.
+        crashed: IDs of the requests that it crashed under, in order.
+        down_s: How long it is down after a crash.
+        keeps_id: Whether it has the same ID after a crash.
     """
 
     def __init__(self, service, address, control, instance="i-1", slots=4):
@@ -41,9 +47,24 @@
         self.status = 200
         self.spoil = ""
         self.born_ms = 1000
+        self.crash_path = ""
+        self.crash_after_s = 0.0
+        self.crash_silently = False
+        self.crashed = []
+        self.down_s = 0.3
+        self.keeps_id = False
+        self._first_instance = instance
         self._sequence = 0
         self._runner = None
         self._announcing = None
+        self._restarting = None
+        self._transports = set()
+        self._crash_over = asyncio.Event()
+
+    @property
+    def restarting(self):
+        """Whether it has crashed and isn't back yet."""
+        return self._restarting is not None
 
     async def start(self):
         """Begins to listen, and to announce itself."""
@@ -61,10 +82,40 @@
 
     async def stop(self):
         """Ends at once, as a crash does."""
+        if self._restarting is not None:
+            self._restarting.cancel()
         if self._announcing is not None:
             self._announcing.cancel()
         await self._runner.cleanup()
 
+    async def _crash(self, request):
+        """Ends the process while it runs a request; it is back later."""
+        if self._restarting is not None:
+            return
+        self.crashed.append(request.headers["Request-Id"])
+        self._crash_over.clear()
+        self._restarting = asyncio.create_task(self._restart())
+        self._announcing.cancel()
+        for site in list(self._runner.sites):
+            await site.stop()
+        if not self.crash_silently:
+            for transport in list(self._transports):
+                transport.abort()
+
+    async def _restart(self):
+        await asyncio.sleep(self.down_s)
+        for transport in self._transports:
+            transport.abort()
+        self._transports.clear()
+        self._crash_over.set()
+        await self._runner.cleanup()
+        self.born_ms += 1
+        self._sequence = 0
+        if not self.keeps_id:
+            self.instance = f"{self._first_instance}-{self.born_ms}"
+        await self.start()
+        self._restarting = None
+
     async def announce(self, **changes):
         """Announces itself once; returns the answer's status."""
         self._sequence += 1
@@ -106,6 +157,10 @@
 
     async def _handle(self, request):
         request_id = request.headers.get("Request-Id", "")
+        self._transports.add(request.transport)
+        if self._restarting is not None:
+            # The process is gone, though its connections may not show it.
+            await self._crash_over.wait()
         if request.headers.get("Target-Instance") != self.instance:
             return web.Response(
                 status=421, headers={"Instance-Id": self.instance}
@@ -113,6 +168,10 @@
         body = await request.read()
         self.ran.append(request_id)
         self.seen[request_id] = dict(request.headers)
+        if request.path == self.crash_path:
+            await asyncio.sleep(self.crash_after_s)
+            await self._crash(request)
+            await self._crash_over.wait()
         await asyncio.sleep(self.hold_s)
         await self.hold.wait()
         headers = {"Request-Id": request_id, "Response-Signature": "s"}
