Count each crash of a backend server, by its incarnation

Callers saw a crashing request sent on without end where its crashes were not counted. Cause: a crash was a connection that broke and a failed connection after it, at an ID that hadn't crashed before. A backend server that keeps its ID, falls silent, or is back before the check was never counted again, nor was a request whose caller had left or whose deadline had passed. A restart that kept the ID and stayed ready wasn't even a change. Change: relay/crashes.py keeps unanswered requests by incarnation (ID and start time) for 10 s after their end. A failed check or the announcement of a new incarnation without an announced end blames them, with one ID a crash.

--- a/src/savorybend/relay/backend.py
+++ b/src/savorybend/relay/backend.py
@@ -114,6 +114,12 @@
         waited_s = self._clock.now_s() - self._last_announced_s
         return waited_s > _OVERDUE_INTERVALS * self._interval_s
 
+    @property
+    def _identity(self) -> tuple[str, int] | None:
+        if self._current is None:
+            return None
+        return (self._current.instance, self._current.born_ms)
+
     def restore(self, stored: StoredState) -> None:
         """Restores the state that an earlier start of this daemon stored.
 
@@ -152,14 +158,14 @@
         if self._is_outdated(announcement):
             self._log_rejection(announcement, "older than the known state")
             return AnnouncementResult(changed=False, valid=True)
-        previous = (self._state, self._current and self._current.instance)
+        previous = (self._state, self._identity)
         slots = self._current.slots if self._current else 0
         self._current = announcement
         self._restored = None
         self._last_announced_s = self._clock.now_s()
         self._apply_trigger("drain" if announcement.draining else "announce")
         changed = (
-            previous != (self._state, announcement.instance)
+            previous != (self._state, self._identity)
             or slots != announcement.slots
         )
         if changed:
--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -16,6 +16,7 @@
 from savorybend.relay import backend
 from savorybend.relay import callqueue
 from savorybend.relay import calls
+from savorybend.relay import crashes
 from savorybend.relay import directory
 from savorybend.relay import outcomes
 from savorybend.relay import pool
@@ -48,6 +49,8 @@
         "waiting",
         "dispatch",
         "instance",
+        "incarnation",
+        "ended_s",
     )
 
     def __init__(
@@ -64,6 +67,8 @@
         self.waiting: callqueue.QueuedCall | None = None
         self.dispatch: pool.Dispatch | None = None
         self.instance = ""
+        self.incarnation: crashes.Incarnation | None = None
+        self.ended_s: float | None = None
 
     def cancel(self) -> None:
         """Cancels the call because nobody waits for its answer any more."""
@@ -100,7 +105,8 @@
         self._runs: dict[int, Run] = {}
         self._by_id: dict[str, calls.Call] = {}
         self._numbers = itertools.count()
-        self._broken: list[Run] = []
+        self._broken: set[crashes.Incarnation] = set()
+        self._crashes = crashes.create_crashes(parts.clock, self._on_crash)
 
     @property
     def load(self) -> outcomes.Load:
@@ -151,6 +157,7 @@
     def on_server_change(self) -> None:
         """Applies a new state of the backend server."""
         server = self._parts.server
+        self._crashes.on_server_change(server)
         if server.takes_calls:
             self._parts.call_queue.set_limit(_limit(server.current.slots))
             return
@@ -160,6 +167,7 @@
     def sweep(self) -> None:
         """Refuses calls that waited too long and aborts overdue ones."""
         self._parts.call_queue.sweep()
+        self._crashes.sweep()
         now_s = self._parts.clock.now_s()
         for run in list(self._runs.values()):
             if run.waiting.started_s is None:
@@ -185,6 +193,7 @@
     def _enter(self, run: Run) -> None:
         server = self._parts.server
         run.instance = server.current.instance
+        self._crashes.begin(run)
         run.dispatch = self._parts.pool.dispatch(
             run.call, run.instance, lambda outcome: self._on_done(run, outcome)
         )
@@ -192,13 +201,15 @@
     def _on_done(self, run: Run, outcome: outcomes.Outcome) -> None:
         match outcome:
             case outcomes.Ran():
+                self._crashes.note_answer(run)
                 self._parts.suspects.note_answer(run.call)
-            case outcomes.NotRun(reason=outcomes.NOT_THE_INSTANCE):
-                self._note_wrong_instance(run)
-            case outcomes.NotRun(reason=outcomes.NO_BACKEND_SERVER):
-                self._parts.server.lose("takes no connection")
-            case outcomes.Lost(reason=outcomes.BACKEND_SERVER_LOST):
-                self._note_broken(run)
+            case outcomes.NotRun(reason=reason):
+                self._crashes.note_answer(run)
+                self._note_not_run(run, reason)
+            case outcomes.Lost(reason=reason):
+                self._crashes.note_end(run)
+                if reason == outcomes.BACKEND_SERVER_LOST:
+                    self._note_broken(run)
         if run.number in self._runs:
             answered = isinstance(outcome, outcomes.Ran)
             self._forget(run)
@@ -206,23 +217,32 @@
         run.waiting.clear_callbacks()
         run.callback(outcome)
 
-    def _note_wrong_instance(self, run: Run) -> None:
-        current = self._parts.server.current
-        if current is not None and current.instance == run.instance:
-            self._parts.server.lose("another one answers at its address")
+    def _note_not_run(self, run: Run, reason: str) -> None:
+        match reason:
+            case outcomes.NOT_THE_INSTANCE:
+                current = self._parts.server.current
+                if current is not None and current.instance == run.instance:
+                    self._parts.server.lose(
+                        "another one answers at its address"
+                    )
+            case outcomes.NO_BACKEND_SERVER:
+                self._parts.server.lose("takes no connection")
 
     def _note_broken(self, run: Run) -> None:
         # A connection may also break while the backend server stays alive, so
         # its liveness is checked before requests become suspects.
-        self._broken.append(run)
+        self._broken.add(run.incarnation)
         if len(self._broken) == 1:
             self._parts.watchdog.check(self._on_checked)
 
     def _on_checked(self, alive: bool) -> None:
-        broken, self._broken = self._broken, []
+        broken, self._broken = self._broken, set()
         if not alive:
-            for run in broken:
-                self._parts.suspects.note_death(run.call, run.instance)
+            for incarnation in broken:
+                self._crashes.note_gone(incarnation)
+
+    def _on_crash(self, run: Run, crash: str) -> None:
+        self._parts.suspects.note_crash(run.call, crash, run.instance)
 
     def _finish(self, run: Run, refusal: outcomes.NotRun) -> None:
         self._forget(run)
@@ -236,6 +256,7 @@
 
     def _abort(self, run: Run) -> None:
         self._forget(run)
+        self._crashes.note_end(run)
         if run.dispatch is not None:
             run.dispatch.abort()
         self._parts.call_queue.leave(run.waiting, False)
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -27,12 +27,12 @@
 
 
 class _Suspect:
-    __slots__ = ("deaths", "last_s", "instances")
+    __slots__ = ("deaths", "last_s", "crashes")
 
     def __init__(self):
         self.deaths = 0
         self.last_s = 0.0
-        self.instances: set[str] = set()
+        self.crashes: set[str] = set()
 
 
 class Suspects:
@@ -54,14 +54,19 @@
             return False
         return self._clock.now_s() - suspect.last_s < _REMEMBERED_S
 
-    def note_death(self, call: calls.Call, instance: str) -> None:
-        """Records that a backend server died while it ran a request."""
+    def note_crash(self, call: calls.Call, crash: str, instance: str) -> None:
+        """Records that a backend server crashed while it ran a request.
+
+        Args:
+            call: The request.
+            crash: ID of the crash, the same for all requests that it hit.
+            instance: ID of the backend server, for the log.
+        """
         content = digest(call)
         suspect = self._suspects.get(content) or self._add(content)
-        if instance in suspect.instances:
-            # Copies running at the same instance count as one death.
+        if crash in suspect.crashes:
             return
-        suspect.instances.add(instance)
+        suspect.crashes.add(crash)
         suspect.deaths += 1
         suspect.last_s = self._clock.now_s()
         self._tell(content, suspect.deaths)
--- /dev/null
+++ b/tests/relay/test_crashes.py
@@ -0,0 +1,101 @@
+"""Tests of finding the requests that a crashed backend server was running."""
+
+from savorybend.relay import backend
+from savorybend.relay import crashes
+from tests import fakes
+
+_ADDRESS = "127.0.0.1:1"
+
+
+class _Run:
+    incarnation = None
+    ended_s = None
+
+    def __init__(self, number):
+        self.number = number
+
+
+class _Daemon:
+    """A backend server and what its crashes are blamed on."""
+
+    def __init__(self):
+        self.clock = fakes.create_clock()
+        self.blamed = []
+        self.crashes = crashes.create_crashes(
+            self.clock, lambda run, crash: self.blamed.append((run, crash))
+        )
+        self.server = backend.BackendServer(
+            _ADDRESS, 1.0, self.clock, self._on_change
+        )
+        self._sequence = 0
+        self.announce()
+
+    def _on_change(self):
+        self.crashes.on_server_change(self.server)
+
+    def announce(self, instance="i-1", born_ms=1, draining=False):
+        self._sequence += 1
+        self.server.announce(
+            backend.Announcement(
+                instance,
+                "ledger",
+                _ADDRESS,
+                4,
+                draining,
+                born_ms,
+                self._sequence,
+                0.0,
+            )
+        )
+
+    def begin(self, number=1):
+        run = _Run(number)
+        self.crashes.begin(run)
+        return run
+
+
+def test_a_new_incarnation_blames_what_the_old_one_left_unanswered():
+    daemon = _Daemon()
+    lost, answered = daemon.begin(1), daemon.begin(2)
+    daemon.crashes.note_answer(answered)
+    daemon.announce("i-2", born_ms=2)
+    assert [run for run, _ in daemon.blamed] == [lost]
+
+
+def test_a_request_given_up_before_the_crash_was_noticed_is_blamed():
+    daemon = _Daemon()
+    run = daemon.begin()
+    daemon.crashes.note_end(run)
+    daemon.clock.advance(5)
+    daemon.crashes.sweep()
+    daemon.announce(born_ms=2)
+    assert [run for run, _ in daemon.blamed] == [run]
+
+
+def test_a_request_given_up_long_ago_is_not_blamed():
+    daemon = _Daemon()
+    daemon.crashes.note_end(daemon.begin())
+    daemon.clock.advance(11)
+    daemon.crashes.sweep()
+    daemon.announce(born_ms=2)
+    assert not daemon.blamed
+
+
+def test_an_announced_end_is_no_crash():
+    daemon = _Daemon()
+    daemon.begin()
+    daemon.announce(draining=True)
+    daemon.server.withdraw("i-1", 1)
+    daemon.announce("i-2", born_ms=2)
+    assert not daemon.blamed
+
+
+def test_crashes_of_one_id_differ_and_copies_of_a_crash_do_not():
+    daemon = _Daemon()
+    for _ in range(2):
+        copies = [daemon.begin(1), daemon.begin(2)]
+        daemon.server.lose("gone")
+        daemon.crashes.note_gone(copies[0].incarnation)
+        daemon.crashes.note_end(copies[1])
+        daemon.server.regain()
+    assert len({crash for _, crash in daemon.blamed}) == 2
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -16,7 +16,7 @@
     held = _suspects()
     for instance in "abc":
         assert not held.quarantined(samples.call())
-        held.note_death(samples.call(), instance)
+        held.note_crash(samples.call(), instance, "i-1")
     assert held.quarantined(samples.call(request_id="another"))
     assert not held.quarantined(samples.call(body=b"other"))
 
@@ -24,14 +24,14 @@
 def test_copies_under_way_together_are_one_death():
     held = _suspects()
     for _ in range(5):
-        held.note_death(samples.call(), "a")
+        held.note_crash(samples.call(), "a", "i-1")
     assert not held.quarantined(samples.call())
 
 
 def test_an_answer_clears_a_suspect_and_others_are_told():
     told = []
     held = _suspects(told)
-    held.note_death(samples.call(), "a")
+    held.note_crash(samples.call(), "a", "i-1")
     held.note_answer(samples.call())
     assert [deaths for _, deaths in told] == [1, 0]
 
@@ -41,5 +41,5 @@
     content = suspects.digest(samples.call())
     held.hear(content, 1, "b")
     held.hear(content, 1, "b")
-    held.note_death(samples.call(), "a")
+    held.note_crash(samples.call(), "a", "i-1")
     assert held.quarantined(samples.call())
