Check a call that waited against the held requests before it is sent

Callers whose crashing request waited in the queue while its third crash was learned of still got it run: whether a content is held was asked only when the call arrived. Change: the queue asks again when the call's turn comes. Evidence: tests/relay/test_serving.py failed on the code before (the second call was sent) and passes.

--- a/src/savorybend/relay/callqueue.py
+++ b/src/savorybend/relay/callqueue.py
@@ -38,6 +38,11 @@
 
 OnStart = collections.abc.Callable[["QueuedCall"], None]
 OnRefuse = collections.abc.Callable[["QueuedCall", outcomes.NotRun], None]
+Check = collections.abc.Callable[[], outcomes.NotRun | None]
+
+
+def _refuse_nothing() -> outcomes.NotRun | None:
+    return None
 
 
 class QueuedCall:
@@ -47,6 +52,7 @@
         call: The call.
         on_start: Called with this object when the call may start.
         on_refuse: Called with this object and the refusal.
+        check: Returns a refusal if the call must not start after it waited.
         started_s: When the call was started; None while it waits.
         waiter: Its entry in the queue; None while it isn't queued.
         until_s: When it is refused if it is still queued.
@@ -56,17 +62,23 @@
         "call",
         "on_start",
         "on_refuse",
+        "check",
         "started_s",
         "waiter",
         "until_s",
     )
 
     def __init__(
-        self, call: calls.Call, on_start: OnStart, on_refuse: OnRefuse
+        self,
+        call: calls.Call,
+        on_start: OnStart,
+        on_refuse: OnRefuse,
+        check: Check = _refuse_nothing,
     ):
         self.call = call
         self.on_start = on_start
         self.on_refuse = on_refuse
+        self.check = check
         self.started_s: float | None = None
         self.until_s = call.deadline_s
         self.waiter: fairqueue.Waiter | None = None
@@ -75,6 +87,7 @@
         """Drops the callbacks, which would otherwise form reference cycles."""
         self.on_start = _ignore
         self.on_refuse = _ignore
+        self.check = _refuse_nothing
 
 
 def _ignore(*arguments: object) -> None:
@@ -272,10 +285,11 @@
     def _start_queued(self) -> None:
         while self._running < self._limit and len(self._queue):
             queued_call = self._queue.pop(False).token
-            if self._clock.now_s() > queued_call.until_s:
-                queued_call.on_refuse(
-                    queued_call, self._not_run(outcomes.TOO_LATE)
-                )
+            refusal = queued_call.check()
+            if refusal is None and self._clock.now_s() > queued_call.until_s:
+                refusal = self._not_run(outcomes.TOO_LATE)
+            if refusal is not None:
+                queued_call.on_refuse(queued_call, refusal)
             else:
                 self._start(queued_call)
 
--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -138,6 +138,7 @@
             call,
             lambda waiting: self._enter(run),
             lambda waiting, refusal: self._finish(run, refusal),
+            lambda: self._check_held(call),
         )
         self._parts.call_queue.enter(run.waiting)
         return run
@@ -184,11 +185,14 @@
             return outcomes.NotRun(outcomes.DRAINING)
         if server.current.service != call.service:
             return outcomes.NotRun(outcomes.NO_BACKEND_SERVER)
-        if self._parts.suspects.quarantined(call):
-            return outcomes.NotRun(
-                outcomes.QUARANTINED, retry_after_s=1.0, elsewhere=False
-            )
-        return None
+        return self._check_held(call)
+
+    def _check_held(self, call: calls.Call) -> outcomes.NotRun | None:
+        if not self._parts.suspects.quarantined(call):
+            return None
+        return outcomes.NotRun(
+            outcomes.QUARANTINED, retry_after_s=1.0, elsewhere=False
+        )
 
     def _enter(self, run: Run) -> None:
         server = self._parts.server
