Tell every daemon that connects which requests crash servers

Callers got a crashing request through at each daemon that was started, frozen or cut off when a crash was told. Cause: a daemon told a count once, on the connections that were open at that moment, and nobody told it again; a report heard twice counted twice, and an older one could undo a newer one. Change: a report holds the IDs of all crashes known under a content and of those that an answer voided, so that merging is idempotent and in any order (relay/suspicion.py). It goes to the daemons of the service, connected or not; to each daemon that connects, before any call; and on from neighbour to neighbour when a content becomes held or is let go. An ended request is kept without its body. A daemon of an older build counts a repeated report again, and its own reports are passed over, until all daemons run this build.

--- a/src/savorybend/internal/timers.py
+++ b/src/savorybend/internal/timers.py
@@ -50,6 +50,14 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class WallClock:
+    """The system's time of day, in seconds since the Unix epoch."""
+
+    def now_s(self) -> float:
+        """Returns the seconds since the Unix epoch."""
+        return time.time()
+
+
 class Subscription:
     """A one-shot or periodic callback of the timer service."""
 
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -129,14 +129,6 @@
             self._call_queue,
             self._callees,
         )
-        self._own_record = ownrecord.create_own_record(
-            ownrecord.Parts(
-                own=self._own_statement,
-                server=self._server,
-                publisher=self._publisher,
-                start=self._start,
-            )
-        )
         self._pool = pool.Pool(
             loaded_settings.backend_server_address,
             adapter.backend,
@@ -156,7 +148,19 @@
             )
         )
         self._suspects = suspects.create_suspects(
-            clock, self._fleet.broadcast_suspicion
+            suspects.Parts(
+                clock=timers.WallClock(),
+                tell=self._fleet.tell_service,
+                spread=self._fleet.spread,
+            )
+        )
+        self._own_record = ownrecord.create_own_record(
+            ownrecord.Parts(
+                own=self._own_statement,
+                server=self._server,
+                publisher=self._publisher,
+                start=self._start,
+            )
         )
         self._serving = serving.create_serving(
             serving.Parts(
@@ -420,6 +424,7 @@
             # The settings file may change without a SIGHUP.
             self._on_reload()
         self._callers.sweep()
+        self._suspects.sweep()
         self._sink.start_interval()
 
     def _start(self, work: collections.abc.Coroutine) -> None:
--- a/src/savorybend/relay/crashes.py
+++ b/src/savorybend/relay/crashes.py
@@ -7,49 +7,61 @@
 """
 
 import collections.abc
-import secrets
-import typing
 
 from savorybend.internal import timers
 from savorybend.relay import backend
 from savorybend.relay import directory
+from savorybend.relay import suspects
+from savorybend.relay import suspicion
 
 # A request that ended without an answer can be blamed for this long.
 _BLAMED_FOR_S = 10.0
 _MAX_ENDED = 256
-_ID_BYTES = 8
 
 _LEAVING = (directory.DRAINING, directory.ABSENT)
 
 
-class Runs(typing.Protocol):
-    """A request sent to the backend server."""
+class SentRequest:
+    """A request that was sent to the backend server.
 
-    number: int
-    incarnation: "Incarnation"
-    ended_s: float | None
+    Attributes:
+        request: The request.
+        incarnation: The incarnation that it was sent to.
+        ended_s: When it ended without an answer; None if it hasn't.
+    """
+
+    __slots__ = ("request", "incarnation", "ended_s")
+
+    def __init__(self, request: suspects.Request, incarnation: "Incarnation"):
+        self.request = request
+        self.incarnation = incarnation
+        self.ended_s: float | None = None
 
 
 class Incarnation:
     """One start of the backend server, as far as this daemon can tell.
 
     Attributes:
-        identity: Its ID and when it started.
+        instance: Its ID.
+        born_ms: When it started, Unix time in milliseconds; 0 if not stated.
         leaving: Whether its end was announced.
         crash: ID of the crash that ended it; None while none is known.
-        runs: Requests sent to it that got no answer, by number.
+        unanswered: Requests sent to it that got no answer.
     """
 
-    __slots__ = ("identity", "leaving", "crash", "runs")
+    __slots__ = ("instance", "born_ms", "leaving", "crash", "unanswered")
 
-    def __init__(self, identity: tuple[str, int]):
-        self.identity = identity
+    def __init__(self, instance: str, born_ms: int):
+        self.instance = instance
+        self.born_ms = born_ms
         self.leaving = False
         self.crash: str | None = None
-        self.runs: dict[int, Runs] = {}
+        self.unanswered: set[SentRequest] = set()
 
 
-OnCrash = collections.abc.Callable[[typing.Any, str], None]
+# Called with a request, the ID of the crash that is blamed on it, and the
+# backend server's ID.
+OnCrash = collections.abc.Callable[[suspects.Request, str, str], None]
 
 
 class Crashes:
@@ -58,68 +70,67 @@
     def __init__(self, clock: timers.Clock, on_crash: OnCrash):
         self._clock = clock
         self._on_crash = on_crash
-        self._current = Incarnation(("", 0))
+        self._current = Incarnation("", 0)
 
-    def begin(self, run: Runs) -> None:
+    def begin(self, request: suspects.Request) -> SentRequest:
         """Notes that a request is sent to the current incarnation."""
-        run.incarnation = self._current
-        run.ended_s = None
-        self._current.runs[run.number] = run
+        sent = SentRequest(request, self._current)
+        self._current.unanswered.add(sent)
+        return sent
 
-    def note_answer(self, run: Runs) -> None:
+    def note_answer(self, sent: SentRequest) -> None:
         """Notes that a request was answered, so that it isn't blamed."""
-        if run.incarnation is not None:
-            run.incarnation.runs.pop(run.number, None)
+        sent.incarnation.unanswered.discard(sent)
 
-    def note_end(self, run: Runs) -> None:
+    def note_end(self, sent: SentRequest) -> None:
         """Notes that a request was lost or given up before its answer."""
-        run.ended_s = self._clock.now_s()
-        incarnation = run.incarnation
+        sent.ended_s = self._clock.now_s()
+        sent.request.release_body()
+        incarnation = sent.incarnation
         if incarnation.crash is not None:
-            incarnation.runs.pop(run.number, None)
-            self._on_crash(run, incarnation.crash)
+            incarnation.unanswered.discard(sent)
+            self._on_crash(
+                sent.request, incarnation.crash, incarnation.instance
+            )
 
     def note_gone(self, incarnation: Incarnation) -> None:
         """Notes that an incarnation crashed; blames its requests."""
         if incarnation.crash is None:
-            incarnation.crash = secrets.token_hex(_ID_BYTES)
-        runs, incarnation.runs = incarnation.runs, {}
-        for run in runs.values():
-            self._on_crash(run, incarnation.crash)
+            incarnation.crash = suspicion.create_id()
+        blamed, incarnation.unanswered = incarnation.unanswered, set()
+        for sent in blamed:
+            self._on_crash(
+                sent.request, incarnation.crash, incarnation.instance
+            )
 
     def on_server_change(self, server: backend.BackendServer) -> None:
         """Applies a new state of the backend server."""
-        if server.current is None:
+        announced = server.current
+        if announced is None:
             return
-        identity = (server.current.instance, server.current.born_ms)
         previous = self._current
-        if previous.identity != identity:
-            self._current = Incarnation(identity)
-            if not previous.leaving:
-                self.note_gone(previous)
-        elif previous.crash is not None and server.takes_calls:
-            # It has the ID of the one that crashed.
-            self._current = Incarnation(identity)
+        same = (previous.instance, previous.born_ms) == (
+            announced.instance,
+            announced.born_ms,
+        )
+        # One that is back after a crash may be as before in all it announces.
+        if not same or (previous.crash is not None and server.takes_calls):
+            self._current = Incarnation(announced.instance, announced.born_ms)
+        if not same and not previous.leaving:
+            self.note_gone(previous)
         self._current.leaving = server.state in _LEAVING
 
     def sweep(self) -> None:
         """Forgets requests that ended too long ago to be blamed."""
-        runs = self._current.runs
+        unanswered = self._current.unanswered
         oldest_s = self._clock.now_s() - _BLAMED_FOR_S
-        ended = [one for one in runs.values() if one.ended_s is not None]
-        ended.sort(key=lambda run: run.ended_s)
-        excess = len(ended) - _MAX_ENDED
-        for index, run in enumerate(ended):
-            if index < excess or run.ended_s < oldest_s:
-                del runs[run.number]
+        ended = [one for one in unanswered if one.ended_s is not None]
+        ended.sort(key=lambda sent: sent.ended_s, reverse=True)
+        for index, sent in enumerate(ended):
+            if index >= _MAX_ENDED or sent.ended_s < oldest_s:
+                unanswered.discard(sent)
 
 
 def create_crashes(clock: timers.Clock, on_crash: OnCrash) -> Crashes:
-    """Returns an object without requests.
-
-    Args:
-        clock: The clock.
-        on_crash: Called with each request that a crash is blamed on and the
-            ID of the crash.
-    """
+    """Returns an object without requests."""
     return Crashes(clock, on_crash)
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -63,6 +63,7 @@
         self._lender = lender.create_lender(self._clock)
         self._consumers: Consumers | None = None
         self._fetch_requested_s = 0.0
+        self._neighbours: set[str] = set()
         self._link_dependencies = links.Dependencies(
             own=parts.own,
             events=self,
@@ -118,16 +119,22 @@
         for link in list(self._links.values()):
             link.tick()
 
-    def broadcast_suspicion(self, content: bytes, deaths: int) -> None:
-        """Sends a suspected request to all linked daemons.
+    def tell_service(self, service: str, report: frames.Suspicion) -> None:
+        """Sends a report of a suspect to the other daemons of a service."""
+        for statement in self._parts.directory.of_service(service):
+            self.link(statement.daemon).send_when_connected(report)
 
-        Args:
-            content: Digest of the request's content.
-            deaths: Backend server crashes it is blamed for; 0 clears it.
-        """
-        message = frames.Suspicion(content, deaths)
-        for link in self._links.values():
-            link.send_if_connected(message)
+    def spread(self, report: frames.Suspicion) -> None:
+        """Sends a report of a suspect to the neighbours."""
+        for name in self._neighbours:
+            self.link(name).send_when_connected(report)
+
+    def on_connect(
+        self, send: collections.abc.Callable[[frames.Message], None]
+    ) -> None:
+        """Tells a daemon that has connected of the known suspects."""
+        for report in self._consumers.suspects.reports():
+            send(report)
 
     def on_statement(self, statement: frames.Statement, source: str) -> None:
         """Applies a daemon's statement if it is newer than the known one."""
@@ -179,8 +186,8 @@
                 reply(self._lend(daemon, message))
             case frames.Loan():
                 self._consumers.allowance.borrow(message)
-            case frames.Suspicion(digest=digest, crashes=crashes):
-                self._consumers.suspects.hear(digest, crashes, daemon)
+            case frames.Suspicion():
+                self._consumers.suspects.hear(message, daemon)
 
     def ask_lender(self, request: frames.LoanRequest) -> None:
         """Requests tokens of client accounts from the lender."""
@@ -233,11 +240,11 @@
         names = self._parts.directory.names
         after = [name for name in names if name > own]
         ring = after + [name for name in names if name < own]
-        chosen = {*ring[:_NEIGHBOUR_COUNT], *names[:_LENDER_LINKS]}
-        for name in chosen:
+        self._neighbours = {*ring[:_NEIGHBOUR_COUNT], *names[:_LENDER_LINKS]}
+        for name in self._neighbours:
             self.link(name).set_persistent(True)
         for name, link in self._links.items():
-            if name not in chosen:
+            if name not in self._neighbours:
                 link.set_persistent(False)
 
 
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -189,16 +189,25 @@
     retry_after_s: dict[str, float]
 
 
-class Suspicion(msgspec.Struct, array_like=True, tag=21):
-    """Reports that a backend server died running a request, or survived it.
+class Suspicion(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """Reports all that the sender knows of crashes under one content.
+
+    A daemon of a version before `deaths` sends and reads only the first two
+    fields.
 
     Attributes:
-        digest: Digest of the request's content.
-        crashes: Deaths known so far; 0 clears the request of suspicion.
+        digest: Digest of the content.
+        crashes: Number of crashes that count; 0 clears the content.
+        deaths: IDs of the crashes.
+        voided: IDs of the crashes that an answer has voided.
+        last_ms: Time of the last crash, Unix time in milliseconds.
     """
 
     digest: bytes
     crashes: int
+    deaths: list[str] = []
+    voided: list[str] = []
+    last_ms: int = 0
 
 
 Message = (
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -59,6 +59,11 @@
     def on_version(self, link: "Link", version: int) -> None:
         """Handles the version of a peer's configuration."""
 
+    def on_connect(
+        self, send: collections.abc.Callable[[frames.Message], None]
+    ) -> None:
+        """Sends what a peer may have missed; before any call."""
+
     def on_load(self, daemon: str, load: outcomes.Load) -> None:
         """Handles the load of a peer's backend server."""
 
@@ -317,6 +322,7 @@
         self._handshake_done = True
         self._parts.events.on_statement(message.statement, self.daemon)
         self._parts.events.on_version(self, message.version)
+        self._parts.events.on_connect(self._stream.send)
         self._resume(message.statement.boot)
         for other in self._queued:
             self._stream.send(other)
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -109,6 +109,7 @@
         self._boots[name] = message.statement.boot
         own = self._parts.own
         stream.send(frames.Hello(own.statement, own.version))
+        self._parts.events.on_connect(stream.send)
         self._parts.events.on_statement(message.statement, name)
 
     def _abandon(self, name: str) -> None:
--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -49,8 +49,8 @@
         "waiting",
         "dispatch",
         "instance",
-        "incarnation",
-        "ended_s",
+        "request",
+        "sent",
     )
 
     def __init__(
@@ -67,8 +67,8 @@
         self.waiting: callqueue.QueuedCall | None = None
         self.dispatch: pool.Dispatch | None = None
         self.instance = ""
-        self.incarnation: crashes.Incarnation | None = None
-        self.ended_s: float | None = None
+        self.request = suspects.Request(call)
+        self.sent: crashes.SentRequest | None = None
 
     def cancel(self) -> None:
         """Cancels the call because nobody waits for its answer any more."""
@@ -106,7 +106,9 @@
         self._by_id: dict[str, calls.Call] = {}
         self._numbers = itertools.count()
         self._broken: set[crashes.Incarnation] = set()
-        self._crashes = crashes.create_crashes(parts.clock, self._on_crash)
+        self._crashes = crashes.create_crashes(
+            parts.clock, parts.suspects.note_crash
+        )
 
     @property
     def load(self) -> outcomes.Load:
@@ -128,7 +130,7 @@
         The callback gets the outcome, possibly before this returns.
         """
         run = Run(self, next(self._numbers), call, callback)
-        refusal = self._refusal(call)
+        refusal = self._refusal(run)
         if refusal is not None:
             callback(refusal)
             return run
@@ -138,7 +140,7 @@
             call,
             lambda waiting: self._enter(run),
             lambda waiting, refusal: self._finish(run, refusal),
-            lambda: self._check_held(call),
+            lambda: self._check_held(run),
         )
         self._parts.call_queue.enter(run.waiting)
         return run
@@ -177,18 +179,18 @@
                 self._abort(run)
                 run.callback(outcomes.Lost(outcomes.DEADLINE))
 
-    def _refusal(self, call: calls.Call) -> outcomes.NotRun | None:
+    def _refusal(self, run: Run) -> outcomes.NotRun | None:
         server = self._parts.server
         if not server.takes_calls:
             return outcomes.NotRun(_REASONS[server.state])
         if not self._parts.takes_calls():
             return outcomes.NotRun(outcomes.DRAINING)
-        if server.current.service != call.service:
+        if server.current.service != run.call.service:
             return outcomes.NotRun(outcomes.NO_BACKEND_SERVER)
-        return self._check_held(call)
+        return self._check_held(run)
 
-    def _check_held(self, call: calls.Call) -> outcomes.NotRun | None:
-        if not self._parts.suspects.quarantined(call):
+    def _check_held(self, run: Run) -> outcomes.NotRun | None:
+        if not self._parts.suspects.held(run.request):
             return None
         return outcomes.NotRun(
             outcomes.QUARANTINED, retry_after_s=1.0, elsewhere=False
@@ -197,7 +199,7 @@
     def _enter(self, run: Run) -> None:
         server = self._parts.server
         run.instance = server.current.instance
-        self._crashes.begin(run)
+        run.sent = self._crashes.begin(run.request)
         run.dispatch = self._parts.pool.dispatch(
             run.call, run.instance, lambda outcome: self._on_done(run, outcome)
         )
@@ -205,15 +207,15 @@
     def _on_done(self, run: Run, outcome: outcomes.Outcome) -> None:
         match outcome:
             case outcomes.Ran():
-                self._crashes.note_answer(run)
-                self._parts.suspects.note_answer(run.call)
+                self._crashes.note_answer(run.sent)
+                self._parts.suspects.note_answer(run.request)
             case outcomes.NotRun(reason=reason):
-                self._crashes.note_answer(run)
+                self._crashes.note_answer(run.sent)
                 self._note_not_run(run, reason)
             case outcomes.Lost(reason=reason):
-                self._crashes.note_end(run)
+                self._crashes.note_end(run.sent)
                 if reason == outcomes.BACKEND_SERVER_LOST:
-                    self._note_broken(run)
+                    self._note_broken(run.sent.incarnation)
         if run.number in self._runs:
             answered = isinstance(outcome, outcomes.Ran)
             self._forget(run)
@@ -232,10 +234,10 @@
             case outcomes.NO_BACKEND_SERVER:
                 self._parts.server.lose("takes no connection")
 
-    def _note_broken(self, run: Run) -> None:
+    def _note_broken(self, incarnation: crashes.Incarnation) -> None:
         # A connection may also break while the backend server stays alive, so
         # its liveness is checked before requests become suspects.
-        self._broken.add(run.incarnation)
+        self._broken.add(incarnation)
         if len(self._broken) == 1:
             self._parts.watchdog.check(self._on_checked)
 
@@ -245,9 +247,6 @@
             for incarnation in broken:
                 self._crashes.note_gone(incarnation)
 
-    def _on_crash(self, run: Run, crash: str) -> None:
-        self._parts.suspects.note_crash(run.call, crash, run.instance)
-
     def _finish(self, run: Run, refusal: outcomes.NotRun) -> None:
         self._forget(run)
         if run.waiting is not None:
@@ -260,7 +259,7 @@
 
     def _abort(self, run: Run) -> None:
         self._forget(run)
-        self._crashes.note_end(run)
+        self._crashes.note_end(run.sent)
         if run.dispatch is not None:
             run.dispatch.abort()
         self._parts.call_queue.leave(run.waiting, False)
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -1,150 +1,232 @@
-"""Quarantines requests that crash backend servers.
+"""Holds back requests that crash backend servers.
 
-When a backend server dies, each request that it was running becomes a suspect.
-An answer to the same content clears the suspect; a third death quarantines the
-content at all daemons. This protects the backend servers from a caller that
-sends such a request repeatedly.
+When a backend server crashes, each request that it was running becomes a
+suspect. An answer to the same content clears it; a third crash
+holds it back at all daemons for a while.
+
+What is known of a content is told to the daemons of its service and to every
+daemon that connects, so that it outlasts daemons that start, freeze or are cut
+off.
 """
 
 import collections
 import collections.abc
 import hashlib
+import itertools
+import typing
 
 import structlog
 
 from savorybend.internal import timers
 from savorybend.relay import calls
+from savorybend.relay import frames
+from savorybend.relay import suspicion
 
-_MOST_DEATHS = 3
+_CRASHES_BEFORE_HELD = 3
 _REMEMBERED_S = 120.0
-_MOST_SUSPECTS = 10_000
+_MAX_SUSPECTS = 10_000
+_MAX_TOLD_AT_ONCE = 1_000
+_MIN_SHARED_CRASHES = 2
 _DIGEST_BYTES = 16
+_MS_PER_S = 1000
 
 _log = structlog.get_logger()
 
-# Reports a digest and its number of deaths to other daemons; 0 clears it.
-Tell = collections.abc.Callable[[bytes, int], None]
+
+class Request:
+    """A call and the digest of its content, computed when first needed.
+
+    Attributes:
+        request_id: The caller's ID for it.
+        service: The service that is to run it.
+        route: The route's name.
+    """
+
+    __slots__ = ("request_id", "service", "route", "_call", "_digest")
+
+    def __init__(self, call: calls.Call):
+        self.request_id = call.request_id
+        self.service = call.service
+        self.route = call.route
+        self._call: calls.Call | None = call
+        self._digest: bytes | None = None
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of service, method, target and body."""
+        if self._digest is None:
+            call = self._call
+            self._digest = _hash(
+                _DIGEST_BYTES,
+                call.service.encode(),
+                call.method,
+                call.target,
+                call.body,
+            )
+        return self._digest
+
+    def release_body(self) -> None:
+        """Drops the call; its digest stays."""
+        self._digest = self.digest
+        self._call = None
 
 
-class _Suspect:
-    __slots__ = ("deaths", "last_s", "crashes")
+class Parts(typing.NamedTuple):
+    """Dependencies of `Suspects`.
 
-    def __init__(self):
-        self.deaths = 0
-        self.last_s = 0.0
-        self.crashes: set[str] = set()
+    Attributes:
+        clock: The wall clock, in seconds since the Unix epoch.
+        tell: Sends a report to the daemons of a service.
+        spread: Sends a report to neighbours, which send it on.
+    """
+
+    clock: timers.Clock
+    tell: collections.abc.Callable[[str, frames.Suspicion], None]
+    spread: collections.abc.Callable[[frames.Suspicion], None]
 
 
 class Suspects:
-    """Digests of requests that backend servers died under."""
+    """Contents that backend servers crashed under, by digest."""
 
-    def __init__(self, clock: timers.Clock, tell: Tell):
-        self._clock = clock
-        self._tell = tell
-        self._suspects: collections.OrderedDict[bytes, _Suspect] = (
-            collections.OrderedDict()
-        )
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._suspicions: collections.OrderedDict[
+            bytes, suspicion.Suspicion
+        ] = collections.OrderedDict()
 
-    def quarantined(self, call: calls.Call) -> bool:
-        """Returns whether a call must not be sent to a backend server."""
-        if not self._suspects:
+    def held(self, request: Request) -> bool:
+        """Returns whether a request must not be sent to a backend server."""
+        if not self._suspicions:
             return False
-        suspect = self._suspects.get(digest(call))
-        if suspect is None or suspect.deaths < _MOST_DEATHS:
+        found = self._suspicions.get(request.digest)
+        if found is None or not _is_held(found):
             return False
-        return self._clock.now_s() - suspect.last_s < _REMEMBERED_S
+        return self._now_ms() - found.last_ms < _REMEMBERED_S * _MS_PER_S
 
-    def note_crash(self, call: calls.Call, crash: str, instance: str) -> None:
+    def note_crash(self, request: Request, crash: str, instance: str) -> None:
         """Records that a backend server crashed while it ran a request.
 
         Args:
-            call: The request.
+            request: The request.
             crash: ID of the crash, the same for all requests that it hit.
             instance: ID of the backend server, for the log.
         """
-        content = digest(call)
-        suspect = self._suspects.get(content) or self._add(content)
-        if crash in suspect.crashes:
+        digest = request.digest
+        found = self._suspicions.get(digest) or self._add(digest)
+        was_held = _is_held(found)
+        if not found.add_crash(crash, self._now_ms()):
             return
-        suspect.crashes.add(crash)
-        suspect.deaths += 1
-        suspect.last_s = self._clock.now_s()
-        self._tell(content, suspect.deaths)
+        self._suspicions.move_to_end(digest)
+        self._parts.tell(request.service, found.report(digest))
         _log.warning(
             "request_suspected",
-            request_id=call.request_id,
-            route=call.route,
-            content=content.hex(),
+            request_id=request.request_id,
+            route=request.route,
+            content=digest.hex(),
             instance=instance,
-            deaths=suspect.deaths,
+            deaths=len(found.open),
         )
+        self._after_change(digest, found, was_held)
 
-    def note_answer(self, call: calls.Call) -> None:
+    def note_answer(self, request: Request) -> None:
         """Records that a backend server answered a request."""
-        if not self._suspects:
+        if not self._suspicions:
             return
-        content = digest(call)
-        suspect = self._suspects.pop(content, None)
-        if suspect is not None:
-            self._tell(content, 0)
-            _log.info(
-                "suspicion_cleared",
-                request_id=call.request_id,
-                content=content.hex(),
-                deaths=suspect.deaths,
-                source="answer",
-            )
+        digest = request.digest
+        found = self._suspicions.get(digest)
+        if found is None:
+            return
+        was_held = _is_held(found)
+        if not found.acquit():
+            return
+        self._parts.tell(request.service, found.report(digest))
+        _log.info(
+            "suspicion_cleared",
+            request_id=request.request_id,
+            content=digest.hex(),
+            deaths=len(found.open),
+            source="answer",
+        )
+        self._after_change(digest, found, was_held)
 
-    def hear(self, content: bytes, deaths: int, source: str) -> None:
+    def hear(self, report: frames.Suspicion, source: str) -> None:
         """Applies a report from another daemon.
 
         Args:
-            content: Digest of the request.
-            deaths: Deaths known to the other daemon; 0 clears the suspect.
+            report: The report.
             source: Name of the other daemon, for the log.
         """
-        if deaths == 0:
-            suspect = self._suspects.pop(content, None)
-            if suspect is not None:
-                _log.info(
-                    "suspicion_cleared",
-                    content=content.hex(),
-                    deaths=suspect.deaths,
-                    source=source,
-                )
+        if self._is_forgotten(report):
+            return
+        found = self._suspicions.get(report.digest)
+        if found is None:
+            found = self._add(report.digest)
+        was_held = _is_held(found)
+        if not found.merge(report, self._now_ms()):
             return
-        suspect = self._suspects.get(content) or self._add(content)
-        suspect.deaths = max(suspect.deaths + 1, deaths)
-        suspect.last_s = self._clock.now_s()
+        self._suspicions.move_to_end(report.digest)
         _log.info(
             "suspicion_heard",
-            content=content.hex(),
-            deaths=suspect.deaths,
-            told=deaths,
+            content=report.digest.hex(),
+            deaths=len(found.open),
+            told=report.crashes,
             source=source,
         )
+        self._after_change(report.digest, found, was_held)
+
+    def reports(self) -> list[frames.Suspicion]:
+        """Returns what a daemon that connects must be told, newest first.
+
+        A content with a single crash is left out: the report of its next crash
+        names that one too.
+        """
+        found = (
+            other.report(digest)
+            for digest, other in reversed(self._suspicions.items())
+            if other.crashes >= _MIN_SHARED_CRASHES
+        )
+        return list(itertools.islice(found, _MAX_TOLD_AT_ONCE))
+
+    def sweep(self) -> None:
+        """Forgets contents without a recent crash."""
+        now_ms = self._now_ms()
+        for digest, found in list(self._suspicions.items()):
+            if now_ms - found.last_ms > _REMEMBERED_S * _MS_PER_S:
+                del self._suspicions[digest]
 
-    def _add(self, content: bytes) -> _Suspect:
-        suspect = self._suspects[content] = _Suspect()
-        if len(self._suspects) > _MOST_SUSPECTS:
-            self._suspects.popitem(last=False)
-        return suspect
+    def _after_change(
+        self, digest: bytes, found: suspicion.Suspicion, was_held: bool
+    ) -> None:
+        if _is_held(found) != was_held:
+            self._parts.spread(found.report(digest))
 
+    def _is_forgotten(self, report: frames.Suspicion) -> bool:
+        """Returns whether a report is too old to be of use."""
+        age_ms = self._now_ms() - report.last_ms
+        return age_ms > _REMEMBERED_S * _MS_PER_S
 
-def digest(call: calls.Call) -> bytes:
-    """Returns a digest of a call's service, method, target and body."""
-    content = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (call.service.encode(), call.method, call.target, call.body):
+    def _add(self, digest: bytes) -> suspicion.Suspicion:
+        found = self._suspicions[digest] = suspicion.Suspicion()
+        if len(self._suspicions) > _MAX_SUSPECTS:
+            self._suspicions.popitem(last=False)
+        return found
+
+    def _now_ms(self) -> int:
+        return int(self._parts.clock.now_s() * _MS_PER_S)
+
+
+def _is_held(found: suspicion.Suspicion) -> bool:
+    return len(found.open) >= _CRASHES_BEFORE_HELD
+
+
+def _hash(size: int, *parts: bytes) -> bytes:
+    content = hashlib.blake2b(digest_size=size)
+    for part in parts:
         content.update(len(part).to_bytes(8, "big"))
         content.update(part)
     return content.digest()
 
 
-def create_suspects(clock: timers.Clock, tell: Tell) -> Suspects:
-    """Returns an empty set of suspects.
-
-    Args:
-        clock: The clock.
-        tell: Reports changes to other daemons.
-    """
-    return Suspects(clock, tell)
+def create_suspects(parts: Parts) -> Suspects:
+    """Returns an empty set of suspects."""
+    return Suspects(parts)
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -2,19 +2,13 @@
 
 from savorybend.relay import backend
 from savorybend.relay import crashes
+from savorybend.relay import suspects
 from tests import fakes
+from tests.relay import samples
 
 _ADDRESS = "127.0.0.1:1"
 
 
-class _Run:
-    incarnation = None
-    ended_s = None
-
-    def __init__(self, number):
-        self.number = number
-
-
 class _Daemon:
     """A backend server and what its crashes are blamed on."""
 
@@ -22,7 +16,10 @@
         self.clock = fakes.create_clock()
         self.blamed = []
         self.crashes = crashes.create_crashes(
-            self.clock, lambda run, crash: self.blamed.append((run, crash))
+            self.clock,
+            lambda request, crash, instance: self.blamed.append(
+                (request, crash)
+            ),
         )
         self.server = backend.BackendServer(
             _ADDRESS, 1.0, self.clock, self._on_change
@@ -48,28 +45,29 @@
             )
         )
 
-    def begin(self, number=1):
-        run = _Run(number)
-        self.crashes.begin(run)
-        return run
+    def begin(self):
+        return self.crashes.begin(suspects.Request(samples.call()))
+
+    def requests_blamed(self):
+        return [request for request, _ in self.blamed]
 
 
 def test_a_new_incarnation_blames_what_the_old_one_left_unanswered():
     daemon = _Daemon()
-    lost, answered = daemon.begin(1), daemon.begin(2)
+    lost, answered = daemon.begin(), daemon.begin()
     daemon.crashes.note_answer(answered)
     daemon.announce("i-2", born_ms=2)
-    assert [run for run, _ in daemon.blamed] == [lost]
+    assert daemon.requests_blamed() == [lost.request]
 
 
 def test_a_request_given_up_before_the_crash_was_noticed_is_blamed():
     daemon = _Daemon()
-    run = daemon.begin()
-    daemon.crashes.note_end(run)
+    sent = daemon.begin()
+    daemon.crashes.note_end(sent)
     daemon.clock.advance(5)
     daemon.crashes.sweep()
     daemon.announce(born_ms=2)
-    assert [run for run, _ in daemon.blamed] == [run]
+    assert daemon.requests_blamed() == [sent.request]
 
 
 def test_a_request_given_up_long_ago_is_not_blamed():
@@ -93,7 +91,7 @@
 def test_crashes_of_one_id_differ_and_copies_of_a_crash_do_not():
     daemon = _Daemon()
     for _ in range(2):
-        copies = [daemon.begin(1), daemon.begin(2)]
+        copies = [daemon.begin(), daemon.begin()]
         daemon.server.lose("gone")
         daemon.crashes.note_gone(copies[0].incarnation)
         daemon.crashes.note_end(copies[1])
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -28,6 +28,9 @@
     def on_version(self, link, version):
         pass
 
+    def on_connect(self, send):
+        pass
+
     def on_load(self, daemon, load):
         pass
 
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -27,10 +27,13 @@
     def __init__(self):
         self.holds = False
 
-    def quarantined(self, call):
+    def note_crash(self, request, crash, instance):
+        pass
+
+    def held(self, request):
         return self.holds
 
-    def note_answer(self, call):
+    def note_answer(self, request):
         pass
 
 
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -1,45 +1,137 @@
-"""Tests of the quarantine of requests that crash backend servers."""
+"""Tests of holding back requests that crash backend servers."""
+
+import itertools
+
+import hypothesis
+from hypothesis import strategies
 
 from savorybend.relay import suspects
 from tests import fakes
 from tests.relay import samples
 
+_crash_ids = (f"crash-{number}" for number in itertools.count())
+
+
+class _Daemon:
+    """Suspects of one daemon that runs all trials of its service."""
+
+    def __init__(self):
+        self.clock = fakes.create_clock()
+        self.told = []
+        self.spread = []
+        self.suspects = suspects.create_suspects(
+            suspects.Parts(
+                clock=self.clock,
+                tell=lambda service, report: self.told.append(report),
+                spread=self.spread.append,
+            )
+        )
+
+    def held(self, **changes):
+        return self.suspects.held(_request(**changes))
+
+    def crash(self, crash=None, **changes):
+        self.suspects.note_crash(
+            _request(**changes), crash or next(_crash_ids), "i-1"
+        )
+
+    def run(self, status, **changes):
+        """Runs a request to its answer."""
+        self.suspects.note_answer(_request(**changes))
+
+    def hear_all(self, other):
+        for report in other.suspects.reports():
+            self.suspects.hear(report, "other")
+
 
-def _suspects(told=None):
-    seen = [] if told is None else told
-    return suspects.create_suspects(
-        fakes.create_clock(), lambda *message: seen.append(message)
-    )
+def _request(**changes):
+    return suspects.Request(samples.call(**changes))
+
+
+def _holding(**changes):
+    daemon = _Daemon()
+    for _ in range(3):
+        daemon.crash(**changes)
+    assert daemon.held(**changes)
+    return daemon
 
 
 def test_three_deaths_quarantine_a_content_whoever_sends_it():
-    held = _suspects()
-    for instance in "abc":
-        assert not held.quarantined(samples.call())
-        held.note_crash(samples.call(), instance, "i-1")
-    assert held.quarantined(samples.call(request_id="another"))
-    assert not held.quarantined(samples.call(body=b"other"))
+    daemon = _Daemon()
+    for account in "abc":
+        assert not daemon.held()
+        daemon.crash(client_account=account)
+    assert daemon.held(request_id="another", client_account="d")
+    assert not daemon.held(body=b"other")
 
 
 def test_copies_under_way_together_are_one_death():
-    held = _suspects()
+    daemon = _Daemon()
     for _ in range(5):
-        held.note_crash(samples.call(), "a", "i-1")
-    assert not held.quarantined(samples.call())
+        daemon.crash("one")
+    assert not daemon.held()
 
 
 def test_an_answer_clears_a_suspect_and_others_are_told():
-    told = []
-    held = _suspects(told)
-    held.note_crash(samples.call(), "a", "i-1")
-    held.note_answer(samples.call())
-    assert [deaths for _, deaths in told] == [1, 0]
+    daemon, other = _Daemon(), _Daemon()
+    for _ in range(2):
+        daemon.crash()
+    daemon.run(200)
+    assert [report.crashes for report in daemon.told] == [1, 2, 0]
+    daemon.crash()
+    other.hear_all(daemon)
+    other.crash()
+    assert not daemon.held()
+    assert not other.held()
 
 
 def test_deaths_that_others_tell_of_count_too():
-    held = _suspects()
-    content = suspects.digest(samples.call())
-    held.hear(content, 1, "b")
-    held.hear(content, 1, "b")
-    held.note_crash(samples.call(), "a", "i-1")
-    assert held.quarantined(samples.call())
+    daemon, other = _Daemon(), _Daemon()
+    for _ in range(2):
+        other.crash()
+    daemon.hear_all(other)
+    daemon.crash()
+    assert daemon.held()
+
+
+def test_a_report_heard_twice_counts_once():
+    daemon, other = _Daemon(), _Daemon()
+    for _ in range(2):
+        other.crash()
+    for _ in range(3):
+        daemon.hear_all(other)
+    assert not daemon.held()
+
+
+def test_an_older_report_does_not_undo_an_answer():
+    daemon, other = _holding(), _Daemon()
+    other.hear_all(daemon)
+    daemon.run(200)
+    daemon.hear_all(other)
+    assert not daemon.held()
+    other.hear_all(daemon)
+    assert not other.held()
+
+
+def test_neighbours_are_told_when_a_content_is_held_and_let_go():
+    daemon, other = _holding(), _Daemon()
+    assert len(daemon.spread) == 1
+    other.hear_all(daemon)
+    assert len(other.spread) == 1
+
+
+@hypothesis.given(
+    order=strategies.permutations(range(6)), again=strategies.integers(0, 5)
+)
+def test_daemons_agree_in_whatever_order_reports_arrive(order, again):
+    first, reader = _holding(), _Daemon()
+    first.run(200)
+    for _ in range(2):
+        first.crash()
+    reports = first.told[-6:]
+    for number in [*order, again]:
+        reader.suspects.hear(reports[number], "first")
+    assert reader.held() == first.held()
+    assert [one.crashes for one in reader.suspects.reports()] == [
+        one.crashes for one in first.suspects.reports()
+    ]
