Keep crashing requests in the daemons' records in the store

Callers got a crashing request through once all daemons had been started at the same time, as after a loss of power: what was known of it was in memory only. Change: a daemon's record has the contents with two crashes or more that it knows of, 64 at most. It is written again, with the change of the backend server's state, by a daemon that sees such a crash, and by the lender when a content becomes held; each other write has them too. A daemon reads them from its own record and from the listing that it follows anyway, so there is no further call to read. A record that was removed at shutdown isn't written again.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -152,6 +152,8 @@
                 clock=timers.WallClock(),
                 tell=self._fleet.tell_service,
                 spread=self._fleet.spread,
+                store=self._store_suspects,
+                is_lender=self._fleet.is_lender,
             )
         )
         self._own_record = ownrecord.create_own_record(
@@ -159,6 +161,7 @@
                 own=self._own_statement,
                 server=self._server,
                 publisher=self._publisher,
+                suspects=self._suspects,
                 start=self._start,
             )
         )
@@ -234,6 +237,7 @@
                 directory=self._directory,
                 fleet=self._fleet,
                 publisher=self._publisher,
+                suspects=self._suspects,
             )
         )
         self._probe_connections = callers.CallerServer(
@@ -371,6 +375,9 @@
         self._peer_server.announce()
         self._own_record.publish()
 
+    def _store_suspects(self) -> None:
+        self._own_record.publish()
+
     def _on_probe(self, exchange: callers.Exchange) -> None:
         if exchange.target.startswith(_METRICS_PATH):
             exchange.reply(_OK, b"", self._counters.render())
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -129,6 +129,10 @@
         for name in self._neighbours:
             self.link(name).send_when_connected(report)
 
+    def is_lender(self) -> bool:
+        """Returns whether this daemon lends tokens to the others."""
+        return self._lender_name() == self._parts.own.statement.daemon
+
     def on_connect(
         self, send: collections.abc.Callable[[frames.Message], None]
     ) -> None:
@@ -202,7 +206,7 @@
 
         Returns None if this daemon isn't the lender.
         """
-        if self._lender_name() != self._parts.own.statement.daemon:
+        if not self.is_lender():
             return None
         return self._lender.reporting
 
--- a/src/savorybend/relay/ownrecord.py
+++ b/src/savorybend/relay/ownrecord.py
@@ -11,6 +11,7 @@
 from savorybend.relay import backend
 from savorybend.relay import ownstatement
 from savorybend.relay import presence
+from savorybend.relay import suspects
 
 _RESTORE_TIMEOUT_S = 1.0
 # Delay of the first record if the backend server doesn't announce itself.
@@ -27,12 +28,14 @@
         own: This daemon's statement.
         server: This daemon's backend server.
         publisher: Writes the record.
+        suspects: Requests that crash backend servers.
         start: Starts a coroutine on the event loop.
     """
 
     own: ownstatement.OwnStatement
     server: backend.BackendServer
     publisher: presence.Publisher
+    suspects: suspects.Suspects
     start: collections.abc.Callable[[collections.abc.Coroutine], None]
 
 
@@ -50,6 +53,8 @@
                 record = await parts.publisher.restore()
             if not isinstance(record, sentinels.Absence):
                 parts.own.note_earlier_boot(record.statement.boot)
+                for report in record.suspects:
+                    parts.suspects.hear(report, "store")
                 parts.server.restore(presence.stored_state(record))
         except (errors.SavorybendError, TimeoutError) as error:
             _log.warning("record_not_restored", error=repr(error))
@@ -70,6 +75,7 @@
                 server.state,
                 current.born_ms if current else 0,
                 current.sequence if current else 0,
+                self._parts.suspects.stored,
             )
         )
 
--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -43,12 +43,15 @@
         born_ms: When its backend server started, Unix time in milliseconds.
         sequence: Sequence number of the backend server's last published
             announcement.
+        suspects: Requests that crash backend servers, as far as its daemon
+            knows.
     """
 
     statement: frames.Statement
     server_state: str
     born_ms: int
     sequence: int
+    suspects: tuple[frames.Suspicion, ...] = ()
 
 
 _DECODER = msgspec.json.Decoder(Record)
@@ -94,6 +97,7 @@
         self._changed = asyncio.Event()
         self._waiters: list[asyncio.Future] = []
         self._reachable = True
+        self._removed = False
 
     @property
     def up_to_date(self) -> bool:
@@ -114,7 +118,9 @@
         return decode(stored_object.value)
 
     def publish(self, record: Record) -> None:
-        """Schedules a record to be written by `run`."""
+        """Schedules a record to be written by `run`, unless it is removed."""
+        if self._removed:
+            return
         self._wanted = record
         self._changed.set()
 
@@ -159,6 +165,7 @@
     async def remove(self) -> None:
         """Deletes the record at shutdown, without retries."""
         self._wanted = None
+        self._removed = True
         if self._revision is None:
             return
         try:
--- a/src/savorybend/relay/storeupdates.py
+++ b/src/savorybend/relay/storeupdates.py
@@ -10,6 +10,7 @@
 from savorybend.relay import fleet
 from savorybend.relay import presence
 from savorybend.relay import store
+from savorybend.relay import suspects
 
 _NULL_DOCUMENT = b"null"
 
@@ -25,6 +26,7 @@
         directory: The other daemons' statements.
         fleet: The links to the other daemons.
         publisher: Writes this daemon's own record.
+        suspects: Requests that crash backend servers.
     """
 
     own: str
@@ -32,6 +34,7 @@
     directory: directory.Directory
     fleet: fleet.Fleet
     publisher: presence.Publisher
+    suspects: suspects.Suspects
 
 
 class StoreUpdates:
@@ -70,6 +73,8 @@
                 )
                 continue
             self._parts.fleet.on_statement(record.statement, "store")
+            for report in record.suspects:
+                self._parts.suspects.hear(report, "store")
         for name in listing.deleted:
             if name == self._parts.own:
                 self._parts.publisher.note_deleted()
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -4,9 +4,9 @@
 suspect. An answer to the same content clears it; a third crash
 holds it back at all daemons for a while.
 
-What is known of a content is told to the daemons of its service and to every
-daemon that connects, so that it outlasts daemons that start, freeze or are cut
-off.
+What is known of a content is told to the daemons of its service, to every
+daemon that connects, and through the records in the store, so that it outlasts
+daemons that start, freeze or are cut off.
 """
 
 import collections
@@ -26,6 +26,7 @@
 _REMEMBERED_S = 120.0
 _MAX_SUSPECTS = 10_000
 _MAX_TOLD_AT_ONCE = 1_000
+_MAX_STORED = 64
 _MIN_SHARED_CRASHES = 2
 _DIGEST_BYTES = 16
 _MS_PER_S = 1000
@@ -78,11 +79,15 @@
         clock: The wall clock, in seconds since the Unix epoch.
         tell: Sends a report to the daemons of a service.
         spread: Sends a report to neighbours, which send it on.
+        store: Called when this daemon should store `stored` again.
+        is_lender: Returns whether this daemon is the fleet's lender.
     """
 
     clock: timers.Clock
     tell: collections.abc.Callable[[str, frames.Suspicion], None]
     spread: collections.abc.Callable[[frames.Suspicion], None]
+    store: collections.abc.Callable[[], None]
+    is_lender: collections.abc.Callable[[], bool]
 
 
 class Suspects:
@@ -94,6 +99,20 @@
             bytes, suspicion.Suspicion
         ] = collections.OrderedDict()
 
+    @property
+    def stored(self) -> tuple[frames.Suspicion, ...]:
+        """Reports that this daemon stores in its record, held ones first."""
+        worth_storing = [
+            (len(found.open), found.last_ms, digest)
+            for digest, found in self._suspicions.items()
+            if len(found.open) >= _MIN_SHARED_CRASHES
+        ]
+        worth_storing.sort(reverse=True)
+        return tuple(
+            self._suspicions[digest].report(digest)
+            for *_, digest in worth_storing[:_MAX_STORED]
+        )
+
     def held(self, request: Request) -> bool:
         """Returns whether a request must not be sent to a backend server."""
         if not self._suspicions:
@@ -118,6 +137,8 @@
             return
         self._suspicions.move_to_end(digest)
         self._parts.tell(request.service, found.report(digest))
+        if len(found.open) >= _MIN_SHARED_CRASHES:
+            self._parts.store()
         _log.warning(
             "request_suspected",
             request_id=request.request_id,
@@ -150,7 +171,7 @@
         self._after_change(digest, found, was_held)
 
     def hear(self, report: frames.Suspicion, source: str) -> None:
-        """Applies a report from another daemon.
+        """Applies a report from another daemon or from the store.
 
         Args:
             report: The report.
@@ -197,8 +218,11 @@
     def _after_change(
         self, digest: bytes, found: suspicion.Suspicion, was_held: bool
     ) -> None:
-        if _is_held(found) != was_held:
-            self._parts.spread(found.report(digest))
+        if _is_held(found) == was_held:
+            return
+        self._parts.spread(found.report(digest))
+        if self._parts.is_lender():
+            self._parts.store()
 
     def _is_forgotten(self, report: frames.Suspicion) -> bool:
         """Returns whether a report is too old to be of use."""
--- a/tests/relay/test_presence.py
+++ b/tests/relay/test_presence.py
@@ -201,3 +201,16 @@
 def test_invalid_record_is_rejected():
     with pytest.raises(errors.InvalidMessageError):
         presence.decode(b'{"statement":{}}')
+
+
+async def test_a_removed_record_is_not_written_again():
+    client = _Store()
+    publisher = presence.Publisher("a", client, random.Random(1))
+    writer = asyncio.create_task(publisher.run())
+    publisher.publish(_record(1))
+    await publisher.wait(5.0)
+    await publisher.remove()
+    publisher.publish(_record(2))
+    assert not await publisher.wait(0.1)
+    writer.cancel()
+    assert client.stored is None
