Clear a suspect only by an answer that shows it was blamed by chance

Callers could get a crashing request through as often as any answer to the same path and body cleared it: an answer of any status, to any client account, to a run that began before the crashes. Split between two services, it was counted once for each. Cause: a content was service, method, target and body, and every answer reset its count everywhere. Change: a content is host, method, target and body. An answer clears if it is a success, of a run that began after the crash, and it clears the crashes of its own account and service. If crashes of others remain, the content depends on the account, and only an account's own crashes count for it from then on; before that all count, whoever sends it.

--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -198,15 +198,17 @@
     Attributes:
         digest: Digest of the content.
         crashes: Number of crashes that count; 0 clears the content.
-        deaths: IDs of the crashes.
+        deaths: Scopes by crash ID; see `suspicion`.
         voided: IDs of the crashes that an answer has voided.
+        by_scope: Whether only crashes of its own scope count for a call.
         last_ms: Time of the last crash, Unix time in milliseconds.
     """
 
     digest: bytes
     crashes: int
-    deaths: list[str] = []
+    deaths: dict[str, str] = {}
     voided: list[str] = []
+    by_scope: bool = False
     last_ms: int = 0
 
 
--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -50,6 +50,7 @@
         "dispatch",
         "instance",
         "request",
+        "permit",
         "sent",
     )
 
@@ -68,6 +69,7 @@
         self.dispatch: pool.Dispatch | None = None
         self.instance = ""
         self.request = suspects.Request(call)
+        self.permit: suspects.Permit | None = None
         self.sent: crashes.SentRequest | None = None
 
     def cancel(self) -> None:
@@ -199,6 +201,7 @@
     def _enter(self, run: Run) -> None:
         server = self._parts.server
         run.instance = server.current.instance
+        run.permit = self._parts.suspects.begin(run.request)
         run.sent = self._crashes.begin(run.request)
         run.dispatch = self._parts.pool.dispatch(
             run.call, run.instance, lambda outcome: self._on_done(run, outcome)
@@ -206,9 +209,11 @@
 
     def _on_done(self, run: Run, outcome: outcomes.Outcome) -> None:
         match outcome:
-            case outcomes.Ran():
+            case outcomes.Ran(status=status):
                 self._crashes.note_answer(run.sent)
-                self._parts.suspects.note_answer(run.request)
+                self._parts.suspects.note_answer(
+                    run.request, run.permit, status
+                )
             case outcomes.NotRun(reason=reason):
                 self._crashes.note_answer(run.sent)
                 self._note_not_run(run, reason)
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -1,7 +1,7 @@
 """Holds back requests that crash backend servers.
 
 When a backend server crashes, each request that it was running becomes a
-suspect. An answer to the same content clears it; a third crash
+suspect. An answer to a later run of the same content clears it; a third crash
 holds it back at all daemons for a while.
 
 What is known of a content is told to the daemons of its service, to every
@@ -29,7 +29,10 @@
 _MAX_STORED = 64
 _MIN_SHARED_CRASHES = 2
 _DIGEST_BYTES = 16
+_SCOPE_BYTES = 8
 _MS_PER_S = 1000
+_FIRST_SUCCESS = 200
+_FIRST_REDIRECT = 300
 
 _log = structlog.get_logger()
 
@@ -43,35 +46,63 @@
         route: The route's name.
     """
 
-    __slots__ = ("request_id", "service", "route", "_call", "_digest")
+    __slots__ = (
+        "request_id",
+        "service",
+        "route",
+        "_client_account",
+        "_call",
+        "_digest",
+    )
 
     def __init__(self, call: calls.Call):
         self.request_id = call.request_id
         self.service = call.service
         self.route = call.route
+        self._client_account = call.client_account
         self._call: calls.Call | None = call
         self._digest: bytes | None = None
 
     @property
     def digest(self) -> bytes:
-        """Digest of service, method, target and body."""
+        """Digest of host, method, target and body."""
         if self._digest is None:
             call = self._call
             self._digest = _hash(
                 _DIGEST_BYTES,
-                call.service.encode(),
+                call.host.encode("latin-1"),
                 call.method,
                 call.target,
                 call.body,
             )
         return self._digest
 
+    @property
+    def scope(self) -> str:
+        """Identifies the client account and the service."""
+        return _hash(
+            _SCOPE_BYTES, self.service.encode(), self._client_account.encode()
+        ).hex()
+
     def release_body(self) -> None:
         """Drops the call; its digest stays."""
         self._digest = self.digest
         self._call = None
 
 
+class Permit(typing.NamedTuple):
+    """What was known of a content when a run of it began.
+
+    Attributes:
+        crashes: IDs of the crashes that counted.
+    """
+
+    crashes: frozenset[str]
+
+
+_UNSUSPECTED = Permit(frozenset())
+
+
 class Parts(typing.NamedTuple):
     """Dependencies of `Suspects`.
 
@@ -103,9 +134,9 @@
     def stored(self) -> tuple[frames.Suspicion, ...]:
         """Reports that this daemon stores in its record, held ones first."""
         worth_storing = [
-            (len(found.open), found.last_ms, digest)
+            (found.highest_count, found.last_ms, digest)
             for digest, found in self._suspicions.items()
-            if len(found.open) >= _MIN_SHARED_CRASHES
+            if found.highest_count >= _MIN_SHARED_CRASHES
         ]
         worth_storing.sort(reverse=True)
         return tuple(
@@ -118,10 +149,23 @@
         if not self._suspicions:
             return False
         found = self._suspicions.get(request.digest)
-        if found is None or not _is_held(found):
+        if found is None or found.count(request.scope) < _CRASHES_BEFORE_HELD:
             return False
         return self._now_ms() - found.last_ms < _REMEMBERED_S * _MS_PER_S
 
+    def begin(self, request: Request) -> Permit:
+        """Notes that a request that isn't held is about to be sent.
+
+        Returns:
+            What the caller passes to `note_answer`.
+        """
+        if not self._suspicions:
+            return _UNSUSPECTED
+        found = self._suspicions.get(request.digest)
+        if found is None:
+            return _UNSUSPECTED
+        return Permit(found.open)
+
     def note_crash(self, request: Request, crash: str, instance: str) -> None:
         """Records that a backend server crashed while it ran a request.
 
@@ -133,11 +177,11 @@
         digest = request.digest
         found = self._suspicions.get(digest) or self._add(digest)
         was_held = _is_held(found)
-        if not found.add_crash(crash, self._now_ms()):
+        if not found.add_crash(crash, request.scope, self._now_ms()):
             return
         self._suspicions.move_to_end(digest)
         self._parts.tell(request.service, found.report(digest))
-        if len(found.open) >= _MIN_SHARED_CRASHES:
+        if found.highest_count >= _MIN_SHARED_CRASHES:
             self._parts.store()
         _log.warning(
             "request_suspected",
@@ -149,16 +193,28 @@
         )
         self._after_change(digest, found, was_held)
 
-    def note_answer(self, request: Request) -> None:
-        """Records that a backend server answered a request."""
-        if not self._suspicions:
+    def note_answer(
+        self, request: Request, permit: Permit, status: int
+    ) -> None:
+        """Records that a backend server answered a request.
+
+        A failure doesn't show that the request ran to its end. Crashes during
+        the run still count, since it doesn't show that they were by chance.
+
+        Args:
+            request: The request.
+            permit: What `begin` returned.
+            status: Status of the answer.
+        """
+        success = _FIRST_SUCCESS <= status < _FIRST_REDIRECT
+        if not permit.crashes or not success:
             return
         digest = request.digest
         found = self._suspicions.get(digest)
         if found is None:
             return
         was_held = _is_held(found)
-        if not found.acquit():
+        if not found.acquit(permit.crashes, request.scope):
             return
         self._parts.tell(request.service, found.report(digest))
         _log.info(
@@ -240,7 +296,7 @@
 
 
 def _is_held(found: suspicion.Suspicion) -> bool:
-    return len(found.open) >= _CRASHES_BEFORE_HELD
+    return found.highest_count >= _CRASHES_BEFORE_HELD
 
 
 def _hash(size: int, *parts: bytes) -> bytes:
--- a/src/savorybend/relay/suspicion.py
+++ b/src/savorybend/relay/suspicion.py
@@ -21,43 +21,75 @@
         last_ms: Time of the last crash, Unix time in milliseconds.
     """
 
-    __slots__ = ("_crashes", "_voided", "last_ms")
+    __slots__ = ("_crashes", "_voided", "_by_scope", "last_ms")
 
     def __init__(self):
-        self._crashes: set[str] = set()
+        # Scope by ID. A scope is a client account at a service.
+        self._crashes: dict[str, str] = {}
         self._voided: set[str] = set()
+        self._by_scope = False
         self.last_ms = 0
 
     @property
     def open(self) -> frozenset[str]:
         """IDs of the crashes that no answer has voided."""
-        return frozenset(self._crashes - self._voided)
+        return frozenset(self._crashes.keys() - self._voided)
 
     @property
     def crashes(self) -> int:
         """Number of crashes, voided ones included."""
         return len(self._crashes)
 
-    def add_crash(self, crash: str, now_ms: int) -> bool:
+    def count(self, scope: str) -> int:
+        """Returns the number of open crashes that count for a scope.
+
+        All count, unless another scope got an answer to the same content.
+        """
+        if not self._by_scope:
+            return len(self.open)
+        return sum(1 for one in self.open if self._crashes[one] == scope)
+
+    @property
+    def highest_count(self) -> int:
+        """The largest `count` of any scope."""
+        if not self._by_scope:
+            return len(self.open)
+        scopes = [self._crashes[one] for one in self.open]
+        return max((scopes.count(one) for one in set(scopes)), default=0)
+
+    def add_crash(self, crash: str, scope: str, now_ms: int) -> bool:
         """Adds a crash; returns whether it is new."""
         if crash in self._crashes:
             return False
-        self._crashes.add(crash)
+        self._crashes[crash] = scope
         self._touch(now_ms)
         self._limit_size()
         return True
 
-    def acquit(self) -> bool:
-        """Voids all crashes; returns whether there were any."""
-        changed = bool(self.open)
-        self._voided.update(self._crashes)
-        return changed
+    def acquit(self, known: frozenset[str], scope: str) -> bool:
+        """Voids crashes of a scope, since a later run was answered.
+
+        Args:
+            known: IDs of the crashes that were open when the run began.
+            scope: The run's scope.
+
+        Returns:
+            Whether anything changed.
+        """
+        before = self._size()
+        self._voided.update(
+            one for one in known if self._crashes.get(one) == scope
+        )
+        if known & self.open:
+            self._by_scope = True
+        return before != self._size()
 
     def merge(self, report: frames.Suspicion, now_ms: int) -> bool:
         """Adds what another daemon knows; returns whether it was news."""
         before = self._size()
-        self._crashes.update(report.deaths)
+        self._crashes = {**report.deaths, **self._crashes}
         self._voided.update(report.voided)
+        self._by_scope |= report.by_scope
         # A daemon whose clock is ahead must not lengthen the quarantine.
         self._touch(min(report.last_ms, now_ms))
         self._limit_size()
@@ -68,13 +100,14 @@
         return frames.Suspicion(
             digest,
             len(self.open),
-            sorted(self._crashes),
+            dict(self._crashes),
             sorted(self._voided),
+            self._by_scope,
             self.last_ms,
         )
 
-    def _size(self) -> tuple[int, int]:
-        return (len(self._crashes), len(self._voided))
+    def _size(self) -> tuple[int, int, bool]:
+        return (len(self._crashes), len(self._voided), self._by_scope)
 
     def _touch(self, now_ms: int) -> None:
         self.last_ms = max(self.last_ms, now_ms)
@@ -85,9 +118,9 @@
             voided = [one for one in self._crashes if one in self._voided]
             rest = [one for one in self._crashes if one not in self._voided]
             for crash in [*voided, *rest][:excess]:
-                self._crashes.discard(crash)
+                del self._crashes[crash]
         # The IDs stay voided for a while, since others may still report them.
-        past = self._voided - self._crashes
+        past = self._voided - self._crashes.keys()
         if len(past) > _MAX_PAST_CRASHES:
             self._voided -= past
 
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -33,7 +33,10 @@
     def held(self, request):
         return self.holds
 
-    def note_answer(self, request):
+    def begin(self, request):
+        return None
+
+    def note_answer(self, request, permit, status):
         pass
 
 
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -43,7 +43,9 @@
 
     def run(self, status, **changes):
         """Runs a request to its answer."""
-        self.suspects.note_answer(_request(**changes))
+        request = _request(**changes)
+        permit = self.suspects.begin(request)
+        self.suspects.note_answer(request, permit, status)
 
     def hear_all(self, other):
         for report in other.suspects.reports():
@@ -68,6 +70,7 @@
         assert not daemon.held()
         daemon.crash(client_account=account)
     assert daemon.held(request_id="another", client_account="d")
+    assert daemon.held(service="another", route="another")
     assert not daemon.held(body=b"other")
 
 
@@ -119,6 +122,36 @@
     assert not other.held()
 
 
+def test_a_failure_as_answer_clears_nothing():
+    daemon = _Daemon()
+    for _ in range(2):
+        daemon.crash()
+    daemon.run(500)
+    daemon.run(404)
+    daemon.crash()
+    assert daemon.held()
+
+
+def test_an_answer_to_a_run_begun_before_the_crashes_clears_nothing():
+    daemon = _Daemon()
+    request = _request()
+    permit = daemon.suspects.begin(request)
+    for _ in range(3):
+        daemon.crash()
+    daemon.suspects.note_answer(request, permit, 200)
+    assert daemon.held()
+
+
+def test_an_answer_to_another_account_clears_nothing_of_this_one():
+    daemon = _Daemon()
+    for _ in range(2):
+        daemon.crash()
+    daemon.run(200, client_account="another")
+    daemon.crash()
+    assert daemon.held()
+    assert not daemon.held(client_account="another")
+
+
 def test_a_held_content_is_stored_and_survives_all_daemons():
     stored = _holding().suspects.stored
     daemon = _Daemon()
