Let a held request go by trials, three further crashes at most in all

Callers of a content that was in flight at three crashes by chance were refused for 120 s, and those of a content that does crash backend servers got it through at every daemon again after that, three crashes each time. A thousand suspects of one crash could also push out a held content, which was the oldest. Cause: time was the only way out, and the oldest went first. Change: a held content gets two trials in all, 30 s and 300 s after the last crash, each by one daemon that all choose alike and told to the others before it runs. An answer other than a server error lets the content go, with the accounts that were only blamed together; its next crash holds it again, with the trials that are left. A held content is kept for 24 h after its last crash and forgotten after all that aren't held. Evidence: of the new tests in test_suspects.py those of two trials, of chance, of the next crash and of the crowd failed on the code before.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -152,6 +152,7 @@
                 clock=timers.WallClock(),
                 tell=self._fleet.tell_service,
                 spread=self._fleet.spread,
+                runs_trial=self._fleet.runs_trial,
                 store=self._store_suspects,
                 is_lender=self._fleet.is_lender,
             )
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from savorybend.internal import neighbours
 from savorybend.internal import timers
 from savorybend.relay import allowance
 from savorybend.relay import catalog
@@ -133,6 +134,18 @@
         """Returns whether this daemon lends tokens to the others."""
         return self._lender_name() == self._parts.own.statement.daemon
 
+    def runs_trial(self, service: str, text: str) -> bool:
+        """Returns whether this daemon is the one of a service for a text."""
+        own = self._parts.own.statement.daemon
+        ready = [
+            one.daemon
+            for one in self._parts.directory.of_service(service)
+            if one.state == directory.READY
+        ]
+        return own == max(
+            [own, *ready], key=lambda name: neighbours.score(text, name)
+        )
+
     def on_connect(
         self, send: collections.abc.Callable[[frames.Message], None]
     ) -> None:
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -199,14 +199,16 @@
         digest: Digest of the content.
         crashes: Number of crashes that count; 0 clears the content.
         deaths: Scopes by crash ID; see `suspicion`.
+        trials: IDs of the trials.
         voided: IDs of the crashes that an answer has voided.
         by_scope: Whether only crashes of its own scope count for a call.
-        last_ms: Time of the last crash, Unix time in milliseconds.
+        last_ms: Time of the last crash or trial, Unix time in milliseconds.
     """
 
     digest: bytes
     crashes: int
     deaths: dict[str, str] = {}
+    trials: list[str] = []
     voided: list[str] = []
     by_scope: bool = False
     last_ms: int = 0
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -2,7 +2,8 @@
 
 When a backend server crashes, each request that it was running becomes a
 suspect. An answer to a later run of the same content clears it; a third crash
-holds it back at all daemons for a while.
+holds it back at all daemons. A held content gets a few trial runs in all, so
+that one that was in flight by chance gets out again.
 
 What is known of a content is told to the daemons of its service, to every
 daemon that connects, and through the records in the store, so that it outlasts
@@ -23,7 +24,13 @@
 from savorybend.relay import suspicion
 
 _CRASHES_BEFORE_HELD = 3
-_REMEMBERED_S = 120.0
+# Time from the last crash to the first trial and from the first to the second.
+# There are no more: each may crash a backend server.
+_TRIAL_DELAYS_S = (30.0, 300.0)
+# A content is forgotten after this long without a crash or a trial.
+_LIFETIME_S = 24 * 3600.0
+# A cleared content is remembered for daemons that were cut off meanwhile.
+_CLEARED_LIFETIME_S = 600.0
 _MAX_SUSPECTS = 10_000
 _MAX_TOLD_AT_ONCE = 1_000
 _MAX_STORED = 64
@@ -33,6 +40,7 @@
 _MS_PER_S = 1000
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
+_FIRST_SERVER_ERROR = 500
 
 _log = structlog.get_logger()
 
@@ -95,12 +103,14 @@
 
     Attributes:
         crashes: IDs of the crashes that counted.
+        trial: Whether the run is a trial of a held content.
     """
 
     crashes: frozenset[str]
+    trial: bool
 
 
-_UNSUSPECTED = Permit(frozenset())
+_UNSUSPECTED = Permit(frozenset(), False)
 
 
 class Parts(typing.NamedTuple):
@@ -110,6 +120,8 @@
         clock: The wall clock, in seconds since the Unix epoch.
         tell: Sends a report to the daemons of a service.
         spread: Sends a report to neighbours, which send it on.
+        runs_trial: Returns whether this daemon is the one of a service that
+            runs a trial; all daemons agree on the daemon for a text.
         store: Called when this daemon should store `stored` again.
         is_lender: Returns whether this daemon is the fleet's lender.
     """
@@ -117,6 +129,7 @@
     clock: timers.Clock
     tell: collections.abc.Callable[[str, frames.Suspicion], None]
     spread: collections.abc.Callable[[frames.Suspicion], None]
+    runs_trial: collections.abc.Callable[[str, str], bool]
     store: collections.abc.Callable[[], None]
     is_lender: collections.abc.Callable[[], bool]
 
@@ -136,7 +149,7 @@
         worth_storing = [
             (found.highest_count, found.last_ms, digest)
             for digest, found in self._suspicions.items()
-            if found.highest_count >= _MIN_SHARED_CRASHES
+            if _is_held(found) or found.highest_count >= _MIN_SHARED_CRASHES
         ]
         worth_storing.sort(reverse=True)
         return tuple(
@@ -149,9 +162,9 @@
         if not self._suspicions:
             return False
         found = self._suspicions.get(request.digest)
-        if found is None or found.count(request.scope) < _CRASHES_BEFORE_HELD:
+        if found is None or not _is_held_for(found, request):
             return False
-        return self._now_ms() - found.last_ms < _REMEMBERED_S * _MS_PER_S
+        return not self._is_trial_due(request, found)
 
     def begin(self, request: Request) -> Permit:
         """Notes that a request that isn't held is about to be sent.
@@ -164,7 +177,20 @@
         found = self._suspicions.get(request.digest)
         if found is None:
             return _UNSUSPECTED
-        return Permit(found.open)
+        trial = _is_held_for(found, request)
+        if trial:
+            found.add_trial(self._now_ms())
+            report = found.report(request.digest)
+            self._parts.tell(request.service, report)
+            self._parts.spread(report)
+            self._parts.store()
+            _log.info(
+                "suspicion_trial",
+                request_id=request.request_id,
+                content=request.digest.hex(),
+                trial=found.trials,
+            )
+        return Permit(found.open, trial)
 
     def note_crash(self, request: Request, crash: str, instance: str) -> None:
         """Records that a backend server crashed while it ran a request.
@@ -206,15 +232,16 @@
             permit: What `begin` returned.
             status: Status of the answer.
         """
-        success = _FIRST_SUCCESS <= status < _FIRST_REDIRECT
-        if not permit.crashes or not success:
+        end = _FIRST_SERVER_ERROR if permit.trial else _FIRST_REDIRECT
+        if not permit.crashes or not _FIRST_SUCCESS <= status < end:
             return
         digest = request.digest
         found = self._suspicions.get(digest)
         if found is None:
             return
         was_held = _is_held(found)
-        if not found.acquit(permit.crashes, request.scope):
+        spared = _CRASHES_BEFORE_HELD if permit.trial else 0
+        if not found.acquit(permit.crashes, request.scope, spared):
             return
         self._parts.tell(request.service, found.report(digest))
         _log.info(
@@ -265,10 +292,10 @@
         return list(itertools.islice(found, _MAX_TOLD_AT_ONCE))
 
     def sweep(self) -> None:
-        """Forgets contents without a recent crash."""
+        """Forgets contents whose lifetime is over."""
         now_ms = self._now_ms()
         for digest, found in list(self._suspicions.items()):
-            if now_ms - found.last_ms > _REMEMBERED_S * _MS_PER_S:
+            if now_ms - found.last_ms > _lifetime_s(found) * _MS_PER_S:
                 del self._suspicions[digest]
 
     def _after_change(
@@ -280,15 +307,33 @@
         if self._parts.is_lender():
             self._parts.store()
 
+    def _is_trial_due(
+        self, request: Request, found: suspicion.Suspicion
+    ) -> bool:
+        if found.trials >= len(_TRIAL_DELAYS_S):
+            return False
+        delay_ms = _TRIAL_DELAYS_S[found.trials] * _MS_PER_S
+        if self._now_ms() - found.last_ms < delay_ms:
+            return False
+        return self._parts.runs_trial(
+            request.service, f"{request.digest.hex()}{found.trials}"
+        )
+
     def _is_forgotten(self, report: frames.Suspicion) -> bool:
         """Returns whether a report is too old to be of use."""
         age_ms = self._now_ms() - report.last_ms
-        return age_ms > _REMEMBERED_S * _MS_PER_S
+        return age_ms > _LIFETIME_S * _MS_PER_S
 
     def _add(self, digest: bytes) -> suspicion.Suspicion:
         found = self._suspicions[digest] = suspicion.Suspicion()
         if len(self._suspicions) > _MAX_SUSPECTS:
-            self._suspicions.popitem(last=False)
+            oldest = next(iter(self._suspicions))
+            not_held = (
+                one
+                for one, other in self._suspicions.items()
+                if not _is_held(other) and one != digest
+            )
+            del self._suspicions[next(not_held, oldest)]
         return found
 
     def _now_ms(self) -> int:
@@ -296,7 +341,20 @@
 
 
 def _is_held(found: suspicion.Suspicion) -> bool:
-    return found.highest_count >= _CRASHES_BEFORE_HELD
+    return found.highest_count >= _limit(found)
+
+
+def _is_held_for(found: suspicion.Suspicion, request: Request) -> bool:
+    return found.count(request.scope) >= _limit(found)
+
+
+def _limit(found: suspicion.Suspicion) -> int:
+    # A content that was let go after a trial is held again at its next crash.
+    return 1 if found.trials else _CRASHES_BEFORE_HELD
+
+
+def _lifetime_s(found: suspicion.Suspicion) -> float:
+    return _LIFETIME_S if found.open else _CLEARED_LIFETIME_S
 
 
 def _hash(size: int, *parts: bytes) -> bytes:
--- a/src/savorybend/relay/suspicion.py
+++ b/src/savorybend/relay/suspicion.py
@@ -1,9 +1,10 @@
 """The crashes blamed on one request content, as a value that daemons merge.
 
-Each crash has an ID of its own, so merging is commutative and idempotent: a
-report may arrive late, twice or in any order.
+Each crash and each trial has an ID of its own, so merging is commutative and
+idempotent: a report may arrive late, twice or in any order.
 """
 
+import collections
 import secrets
 
 from savorybend.relay import frames
@@ -18,14 +19,15 @@
     """What is known of one content.
 
     Attributes:
-        last_ms: Time of the last crash, Unix time in milliseconds.
+        last_ms: Time of the last crash or trial, Unix time in milliseconds.
     """
 
-    __slots__ = ("_crashes", "_voided", "_by_scope", "last_ms")
+    __slots__ = ("_crashes", "_trials", "_voided", "_by_scope", "last_ms")
 
     def __init__(self):
         # Scope by ID. A scope is a client account at a service.
         self._crashes: dict[str, str] = {}
+        self._trials: set[str] = set()
         self._voided: set[str] = set()
         self._by_scope = False
         self.last_ms = 0
@@ -40,6 +42,11 @@
         """Number of crashes, voided ones included."""
         return len(self._crashes)
 
+    @property
+    def trials(self) -> int:
+        """Number of trials so far."""
+        return len(self._trials)
+
     def count(self, scope: str) -> int:
         """Returns the number of open crashes that count for a scope.
 
@@ -66,19 +73,33 @@
         self._limit_size()
         return True
 
-    def acquit(self, known: frozenset[str], scope: str) -> bool:
+    def add_trial(self, now_ms: int) -> None:
+        """Adds a trial that is about to begin."""
+        self._trials.add(create_id())
+        self._touch(now_ms)
+
+    def acquit(
+        self, known: frozenset[str], scope: str, spared: int = 0
+    ) -> bool:
         """Voids crashes of a scope, since a later run was answered.
 
         Args:
             known: IDs of the crashes that were open when the run began.
             scope: The run's scope.
+            spared: Scopes with fewer known crashes are acquitted as well.
 
         Returns:
             Whether anything changed.
         """
         before = self._size()
+        scopes = {
+            one: self._crashes[one] for one in known if one in self._crashes
+        }
+        counts = collections.Counter(scopes.values())
         self._voided.update(
-            one for one in known if self._crashes.get(one) == scope
+            one
+            for one, other in scopes.items()
+            if other == scope or counts[other] < spared
         )
         if known & self.open:
             self._by_scope = True
@@ -88,9 +109,10 @@
         """Adds what another daemon knows; returns whether it was news."""
         before = self._size()
         self._crashes = {**report.deaths, **self._crashes}
+        self._trials.update(report.trials)
         self._voided.update(report.voided)
         self._by_scope |= report.by_scope
-        # A daemon whose clock is ahead must not lengthen the quarantine.
+        # A daemon whose clock is ahead must not put off the next trial.
         self._touch(min(report.last_ms, now_ms))
         self._limit_size()
         return before != self._size()
@@ -101,13 +123,19 @@
             digest,
             len(self.open),
             dict(self._crashes),
+            sorted(self._trials),
             sorted(self._voided),
             self._by_scope,
             self.last_ms,
         )
 
-    def _size(self) -> tuple[int, int, bool]:
-        return (len(self._crashes), len(self._voided), self._by_scope)
+    def _size(self) -> tuple[int, int, int, bool]:
+        return (
+            len(self._crashes),
+            len(self._trials),
+            len(self._voided),
+            self._by_scope,
+        )
 
     def _touch(self, now_ms: int) -> None:
         self.last_ms = max(self.last_ms, now_ms)
@@ -126,5 +154,5 @@
 
 
 def create_id() -> str:
-    """Returns an ID for a crash."""
+    """Returns an ID for a crash or a trial."""
     return secrets.token_hex(_ID_BYTES)
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -20,11 +20,13 @@
         self.told = []
         self.spread = []
         self.stored = 0
+        self.runs_trials = True
         self.suspects = suspects.create_suspects(
             suspects.Parts(
                 clock=self.clock,
                 tell=lambda service, report: self.told.append(report),
                 spread=self.spread.append,
+                runs_trial=lambda service, text: self.runs_trials,
                 store=self._store,
                 is_lender=lambda: False,
             )
@@ -115,6 +117,7 @@
 def test_an_older_report_does_not_undo_an_answer():
     daemon, other = _holding(), _Daemon()
     other.hear_all(daemon)
+    daemon.clock.advance(31)
     daemon.run(200)
     daemon.hear_all(other)
     assert not daemon.held()
@@ -152,6 +155,44 @@
     assert not daemon.held(client_account="another")
 
 
+def test_a_held_content_gets_two_trials_and_no_more():
+    daemon = _holding()
+    for delay_s in (31, 301):
+        daemon.clock.advance(delay_s)
+        assert not daemon.held()
+        daemon.suspects.begin(_request())
+        assert daemon.held()
+        daemon.crash()
+    daemon.clock.advance(3600)
+    assert daemon.held()
+
+
+def test_only_the_chosen_daemon_runs_a_trial():
+    daemon = _holding()
+    daemon.runs_trials = False
+    daemon.clock.advance(31)
+    assert daemon.held()
+
+
+def test_a_content_in_flight_by_chance_gets_out_after_its_trial():
+    daemon = _Daemon()
+    for account in "abc":
+        daemon.crash(client_account=account)
+    daemon.clock.advance(31)
+    daemon.run(404, client_account="a")
+    for account in "abcd":
+        assert not daemon.held(client_account=account)
+
+
+def test_a_content_let_go_after_a_trial_is_held_again_at_the_next_crash():
+    daemon = _holding()
+    daemon.clock.advance(31)
+    daemon.run(200)
+    assert not daemon.held()
+    daemon.crash()
+    assert daemon.held()
+
+
 def test_a_held_content_is_stored_and_survives_all_daemons():
     stored = _holding().suspects.stored
     daemon = _Daemon()
@@ -160,6 +201,13 @@
     assert daemon.held()
 
 
+def test_a_crowd_of_suspects_does_not_push_out_a_held_content():
+    daemon = _holding()
+    for number in range(10_500):
+        daemon.crash(target=b"/stock/other-%d" % number)
+    assert daemon.held()
+
+
 def test_neighbours_are_told_when_a_content_is_held_and_let_go():
     daemon, other = _holding(), _Daemon()
     assert len(daemon.spread) == 1
@@ -172,6 +220,7 @@
 )
 def test_daemons_agree_in_whatever_order_reports_arrive(order, again):
     first, reader = _holding(), _Daemon()
+    first.clock.advance(31)
     first.run(200)
     for _ in range(2):
         first.crash()
