--- a/src/savorybend/internal/quarantine.py
+++ b/src/savorybend/internal/quarantine.py
@@ -3,6 +3,7 @@
 When a backend server crashes, the content of every request in flight there
 becomes a suspect. One daemon of the service retries it, one copy at a time. An
 answer clears it; a second crash quarantines it at all daemons of the service.
+A daemon that joins or restarts is told of the suspects by the others.
 """
 
 import asyncio
@@ -30,6 +31,7 @@
 # fixed, this costs two more crashes.
 _SUSPECT_LIFETIME_S = 3600.0
 _MAX_SUSPECTS = 10_000
+_MAX_TOLD_AT_ONCE = 100
 # The longest wait for the trial of another copy. A popular lookup that was in
 # flight by chance is cleared sooner; a request that takes longer to crash a
 # backend server isn't worth a longer wait.
@@ -47,6 +49,8 @@
         fingerprint: Digest of the content.
         deaths: The crashes, each as the name of the daemon that saw it and
             that daemon's sequence number.
+        voided: The crashes that an answer has cleared, which don't count when
+            they are reported again.
         last_crash_s: When this daemon last learned of a crash.
         own_crash_s: When this VM's backend server last crashed with it in
             flight.
@@ -55,12 +59,13 @@
     """
 
     __slots__ = ("deaths", "fingerprint", "last_crash_s", "own_crash_s")
-    __slots__ += ("trial", "trial_over")
+    __slots__ += ("trial", "trial_over", "voided")
 
     def __init__(self, fingerprint: bytes):
         self.fingerprint = fingerprint
         self.deaths: set[tuple[str, int]] = set()
-        self.last_crash_s = 0.0
+        self.voided: set[tuple[str, int]] = set()
+        self.last_crash_s = -math.inf
         self.own_crash_s = -math.inf
         self.trial: Run | None = None
         self.trial_over = asyncio.Event()
@@ -99,6 +104,9 @@
         self._suspects: collections.OrderedDict[bytes, _Suspect] = (
             collections.OrderedDict()
         )
+        # Incarnations of the daemons that were told of the suspects.
+        self._told: dict[str, int] = {}
+        parts.directory.subscribe(self._on_member)
         parts.transport.subscribe(wire.Death, self._on_death)
         parts.transport.subscribe(wire.Cleared, self._on_cleared)
 
@@ -178,7 +186,9 @@
         """Records that a run was answered, which clears its content."""
         if self._find_suspect(run.call, run.body) is None:
             return
-        message = wire.Cleared(fingerprints.of_content(run.call, run.body))
+        fingerprint = fingerprints.of_content(run.call, run.body)
+        deaths = sorted(self._suspects[fingerprint].deaths)
+        message = wire.Cleared(fingerprint, deaths)
         self._on_cleared("", message)
         self._broadcast(message)
 
@@ -220,33 +230,72 @@
         # Spares calls the cost of a digest while there are no suspects.
         if not self._suspects:
             return None
-        return self._suspects.get(fingerprints.of_content(call, body))
+        suspect = self._suspects.get(fingerprints.of_content(call, body))
+        return suspect if suspect is not None and suspect.deaths else None
 
     def _broadcast(self, message: wire.Death | wire.Cleared) -> None:
-        own = self._parts.directory.own
         for record in self._parts.directory.all():
-            if record.service != own.service or record.name == own.name:
-                continue
-            try:
-                self._parts.transport.send(record.name, message)
-            except errors.PeerUnreachableError as error:
-                _log.warning("death_not_told", error=str(error))
+            if self._is_told(record):
+                self._send(record.name, message)
+
+    def _is_told(self, record: members.Record) -> bool:
+        own = self._parts.directory.own
+        return record.service == own.service and record.name != own.name
+
+    def _send(self, name: str, message: wire.Death | wire.Cleared) -> None:
+        try:
+            self._parts.transport.send(name, message)
+        except errors.PeerUnreachableError as error:
+            # It is told of all suspects with its next record.
+            self._told.pop(name, None)
+            _log.warning("death_not_told", error=str(error))
+
+    def _on_member(self, change: members.Change) -> None:
+        match change:
+            case members.MemberRemoved(record=record):
+                self._told.pop(record.name, None)
+            case members.MemberUpdated(record=record):
+                if self._told.get(record.name) == record.incarnation:
+                    return
+                if self._is_told(record):
+                    self._told[record.name] = record.incarnation
+                    self._tell_all(record.name)
+
+    def _tell_all(self, name: str) -> None:
+        now_s = self._parts.clock.now_s()
+        newest = list(self._suspects.values())[-_MAX_TOLD_AT_ONCE:]
+        for suspect in newest:
+            age_s = now_s - suspect.last_crash_s
+            for seen_by, sequence in sorted(suspect.deaths):
+                self._send(
+                    name,
+                    wire.Death(suspect.fingerprint, sequence, seen_by, age_s),
+                )
 
     def _on_death(self, peer: str, message: wire.Death) -> None:
         suspect = self._suspects.get(message.fingerprint)
         if suspect is None or not self._is_current(suspect):
             suspect = _Suspect(message.fingerprint)
-        suspect.deaths.add((peer, message.sequence))
-        suspect.last_crash_s = self._parts.clock.now_s()
+        death = (message.seen_by or peer, message.sequence)
+        if death in suspect.voided or death in suspect.deaths:
+            return
+        suspect.deaths.add(death)
+        crash_s = self._parts.clock.now_s() - message.age_s
+        suspect.last_crash_s = max(suspect.last_crash_s, crash_s)
         self._suspects[message.fingerprint] = suspect
         self._suspects.move_to_end(message.fingerprint)
         if len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
 
     def _on_cleared(self, peer: str, message: wire.Cleared) -> None:
-        suspect = self._suspects.pop(message.fingerprint, None)
-        if suspect is not None:
-            suspect.trial_over.set()
+        suspect = self._suspects.get(message.fingerprint)
+        if suspect is None:
+            return
+        cleared = {(name, number) for name, number in message.deaths}
+        suspect.voided |= cleared or suspect.deaths
+        suspect.deaths -= suspect.voided
+        suspect.own_crash_s = -math.inf
+        suspect.trial_over.set()
 
 
 def create_quarantine(parts: Parts) -> Quarantine:
--- a/src/savorybend/internal/wire/requests.py
+++ b/src/savorybend/internal/wire/requests.py
@@ -62,19 +62,30 @@
 
     Attributes:
         fingerprint: Digest of the request's content.
-        sequence: Sequence number among the deaths that the sender observed.
+        sequence: Sequence number among the deaths that its observer saw.
+        seen_by: Name of the daemon that observed it; empty for the sender.
+        age_s: Time since it was observed, in seconds.
     """
 
     fingerprint: bytes
     sequence: int
+    seen_by: str = ""
+    age_s: float = 0.0
 
 
 class Cleared(
     msgspec.Struct, frozen=True, array_like=True, tag="requests.cleared"
 ):
-    """Reports an answer to a request during which another server had died."""
+    """Reports an answer to a request during which another server had died.
+
+    Attributes:
+        fingerprint: Digest of the request's content.
+        deaths: The deaths that no longer count, as pairs of `seen_by` and
+            `sequence`; empty for all that the receiver knows.
+    """
 
     fingerprint: bytes
+    deaths: list[tuple[str, int]] = []
 
 
 class UnusedIds(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from savorybend.internal import bodies
@@ -35,6 +36,12 @@
     return members.Record(name, 1, "e", "back", address, address, address, name)
 
 
+def _restarted(name, revision=0):
+    return msgspec.structs.replace(
+        _record(name), incarnation=2, revision=revision
+    )
+
+
 @pytest.fixture
 def quarantine_setup():
     return _create("back-1")
@@ -189,3 +196,70 @@
     assert isinstance(suspects.begin(call, _BODY), quarantine.Run)
     await suspects.wait(call, _BODY)
     assert _reason(suspects, call) == "suspect"
+
+
+def _relay(transport, receiver):
+    """Hands on what a daemon sent to one that is called `back-2`."""
+    for peer, message in transport.sent:
+        if peer == "back-2":
+            receiver.handlers[type(message)]("back-1", message)
+
+
+def _quarantined_twice(seen_by=("back-3", "back-3")):
+    directory = members.create_directory(_record("back-1"))
+    transport, clock = _Transport(), fakes.create_clock()
+    parts = quarantine.Parts(transport, directory, clock)
+    suspects = quarantine.create_quarantine(parts)
+    call = _call("/back/x")
+    for sequence, peer in enumerate(seen_by):
+        _receive_death(transport, call, peer, sequence)
+    return directory, transport, clock, call, suspects
+
+
+@pytest.mark.parametrize("left", [False, True])
+def test_a_daemon_that_starts_learns_of_earlier_crashes(left):
+    directory, transport, _, call, _ = _quarantined_twice()
+    other, received, _ = _create("back-2", others=("back-1",))
+    directory.put(_record("back-2"))
+    if left:
+        transport.sent.clear()
+        directory.remove("back-2", 1)
+        directory.put(_restarted("back-2"))
+    _relay(transport, received)
+    _relay(transport, received)
+    assert _reason(other, call) == "quarantined"
+    directory.put(_restarted("back-2", revision=1))
+    assert len(transport.sent) == (2 if left else 4)
+
+
+def test_a_crash_that_was_passed_on_counts_once():
+    directory, transport, _, call, _ = _quarantined_twice(("back-3",))
+    other, received, _ = _create("back-2", others=("back-1", "back-3"))
+    _receive_death(received, call, "back-3", 0)
+    directory.put(_record("back-2"))
+    _relay(transport, received)
+    assert _reason(other, call) != "quarantined"
+
+
+def test_passing_a_crash_on_does_not_prolong_its_quarantine():
+    directory, transport, clock, call, _ = _quarantined_twice()
+    clock.advance(3000.0)
+    directory.put(_record("back-2"))
+    other, received, later = _create("back-2", others=("back-1",))
+    _relay(transport, received)
+    assert _reason(other, call) == "quarantined"
+    later.advance(700.0)
+    assert _reason(other, call) == ""
+
+
+def test_an_older_report_of_a_crash_does_not_undo_an_answer():
+    suspects, transport, _ = _create("back-1")
+    call = _call("/back/x")
+    _crash(suspects, suspects.begin(call, _BODY))
+    [(_, death)] = transport.sent
+    other, received, _ = _create("back-2", others=("back-1",))
+    received.handlers[wire.Death]("back-1", death)
+    other.note_answer(quarantine.Run(call, _BODY, 0.0))
+    received.handlers[wire.Death]("back-1", death)
+    _crash(other, other.begin(call, _BODY))
+    assert _reason(other, call) != "quarantined"
