Test a crashing request in a series of restarts and freezes

Seeded: daemons killed, stopped and frozen, one to all at a time, for 20 s, while two callers keep sending the request.

--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -1,8 +1,11 @@
 """A request that crashes its backend servers, at real daemons."""
 
 import asyncio
+import contextlib
+import random
 import signal
 
+import aiohttp
 import pytest
 
 from tests.platform import fleets
@@ -11,6 +14,7 @@
 _CRASHES_BEFORE_HELD = 3
 _MOST_SENT_LATER = 3
 _STABILITY_WINDOW_S = 3.0
+_SERIES_S = 20.0
 
 
 class _Attacked:
@@ -158,3 +162,56 @@
         machine.worker.down_s = 0.0
     await attacked.hold()
     assert await attacked.crashes_of(rounds=3) <= _MOST_SENT_LATER
+
+
+async def _keep_sending(attacked, rng):
+    while True:
+        await asyncio.sleep(rng.choice([0.05, 0.2, 0.4]))
+        with contextlib.suppress(OSError, aiohttp.ClientError):
+            await attacked.fleet.call(
+                rng.choice(attacked.fleet.machines),
+                _PATH,
+                f"series-{rng.random()}",
+                headers={"Deadline-Ms": str(rng.choice([200, 600, 2000]))},
+            )
+
+
+async def _disrupt(machines, rng):
+    await asyncio.sleep(rng.uniform(0.5, 2))
+    if rng.random() < 0.3:
+        for machine in machines:
+            machine.signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.5, 2.5))
+        for machine in machines:
+            machine.signal(signal.SIGCONT)
+        return
+    number = rng.choice([signal.SIGKILL, signal.SIGTERM])
+    for machine in machines:
+        machine.signal(number)
+    for machine in machines:
+        await machine.ended()
+        await machine.start_daemon()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_restarts_and_freezes_in_series_send_no_crashing_request_on(
+    attacked, seed
+):
+    rng = random.Random(seed)
+    for machine in attacked.fleet.machines:
+        machine.worker.crash_silently = rng.random() < 0.3
+        machine.worker.keeps_id = rng.random() < 0.4
+        machine.worker.down_s = rng.choice([0.0, 0.3, 0.8])
+    await attacked.hold(deadline_ms=600)
+    before = attacked.crashes
+    callers = [
+        asyncio.create_task(_keep_sending(attacked, rng)) for _ in range(2)
+    ]
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_SERIES_S):
+            while True:
+                count = rng.choice([1, 1, 2, 4])
+                await _disrupt(rng.sample(attacked.fleet.machines, count), rng)
+    for caller in callers:
+        caller.cancel()
+    assert attacked.crashes - before <= _MOST_SENT_LATER
