Move the identity of a request's content to its own module

relay/suspects.py had two jobs: what identifies a content, and what is known of it. The class and the digest move to relay/contents.py unchanged; no behaviour changes.

--- a/src/savorybend/relay/crashes.py
+++ b/src/savorybend/relay/crashes.py
@@ -10,8 +10,8 @@
 
 from savorybend.internal import timers
 from savorybend.relay import backend
+from savorybend.relay import contents
 from savorybend.relay import directory
-from savorybend.relay import suspects
 from savorybend.relay import suspicion
 
 # A request that ended without an answer can be blamed for this long.
@@ -32,7 +32,7 @@
 
     __slots__ = ("request", "incarnation", "ended_s")
 
-    def __init__(self, request: suspects.Request, incarnation: "Incarnation"):
+    def __init__(self, request: contents.Request, incarnation: "Incarnation"):
         self.request = request
         self.incarnation = incarnation
         self.ended_s: float | None = None
@@ -61,7 +61,7 @@
 
 # Called with a request, the ID of the crash that is blamed on it, and the
 # backend server's ID.
-OnCrash = collections.abc.Callable[[suspects.Request, str, str], None]
+OnCrash = collections.abc.Callable[[contents.Request, str, str], None]
 
 
 class Crashes:
@@ -72,7 +72,7 @@
         self._on_crash = on_crash
         self._current = Incarnation("", 0)
 
-    def begin(self, request: suspects.Request) -> SentRequest:
+    def begin(self, request: contents.Request) -> SentRequest:
         """Notes that a request is sent to the current incarnation."""
         sent = SentRequest(request, self._current)
         self._current.unanswered.add(sent)
--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -16,6 +16,7 @@
 from savorybend.relay import backend
 from savorybend.relay import callqueue
 from savorybend.relay import calls
+from savorybend.relay import contents
 from savorybend.relay import crashes
 from savorybend.relay import directory
 from savorybend.relay import outcomes
@@ -68,7 +69,7 @@
         self.waiting: callqueue.QueuedCall | None = None
         self.dispatch: pool.Dispatch | None = None
         self.instance = ""
-        self.request = suspects.Request(call)
+        self.request = contents.Request(call)
         self.permit: suspects.Permit | None = None
         self.sent: crashes.SentRequest | None = None
 
--- a/src/savorybend/relay/suspects.py
+++ b/src/savorybend/relay/suspects.py
@@ -12,14 +12,13 @@
 
 import collections
 import collections.abc
-import hashlib
 import itertools
 import typing
 
 import structlog
 
 from savorybend.internal import timers
-from savorybend.relay import calls
+from savorybend.relay import contents
 from savorybend.relay import frames
 from savorybend.relay import suspicion
 
@@ -35,8 +34,6 @@
 _MAX_TOLD_AT_ONCE = 1_000
 _MAX_STORED = 64
 _MIN_SHARED_CRASHES = 2
-_DIGEST_BYTES = 16
-_SCOPE_BYTES = 8
 _MS_PER_S = 1000
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
@@ -45,59 +42,6 @@
 _log = structlog.get_logger()
 
 
-class Request:
-    """A call and the digest of its content, computed when first needed.
-
-    Attributes:
-        request_id: The caller's ID for it.
-        service: The service that is to run it.
-        route: The route's name.
-    """
-
-    __slots__ = (
-        "request_id",
-        "service",
-        "route",
-        "_client_account",
-        "_call",
-        "_digest",
-    )
-
-    def __init__(self, call: calls.Call):
-        self.request_id = call.request_id
-        self.service = call.service
-        self.route = call.route
-        self._client_account = call.client_account
-        self._call: calls.Call | None = call
-        self._digest: bytes | None = None
-
-    @property
-    def digest(self) -> bytes:
-        """Digest of host, method, target and body."""
-        if self._digest is None:
-            call = self._call
-            self._digest = _hash(
-                _DIGEST_BYTES,
-                call.host.encode("latin-1"),
-                call.method,
-                call.target,
-                call.body,
-            )
-        return self._digest
-
-    @property
-    def scope(self) -> str:
-        """Identifies the client account and the service."""
-        return _hash(
-            _SCOPE_BYTES, self.service.encode(), self._client_account.encode()
-        ).hex()
-
-    def release_body(self) -> None:
-        """Drops the call; its digest stays."""
-        self._digest = self.digest
-        self._call = None
-
-
 class Permit(typing.NamedTuple):
     """What was known of a content when a run of it began.
 
@@ -157,7 +101,7 @@
             for *_, digest in worth_storing[:_MAX_STORED]
         )
 
-    def held(self, request: Request) -> bool:
+    def held(self, request: contents.Request) -> bool:
         """Returns whether a request must not be sent to a backend server."""
         if not self._suspicions:
             return False
@@ -166,7 +110,7 @@
             return False
         return not self._is_trial_due(request, found)
 
-    def begin(self, request: Request) -> Permit:
+    def begin(self, request: contents.Request) -> Permit:
         """Notes that a request that isn't held is about to be sent.
 
         Returns:
@@ -192,7 +136,9 @@
             )
         return Permit(found.open, trial)
 
-    def note_crash(self, request: Request, crash: str, instance: str) -> None:
+    def note_crash(
+        self, request: contents.Request, crash: str, instance: str
+    ) -> None:
         """Records that a backend server crashed while it ran a request.
 
         Args:
@@ -220,7 +166,7 @@
         self._after_change(digest, found, was_held)
 
     def note_answer(
-        self, request: Request, permit: Permit, status: int
+        self, request: contents.Request, permit: Permit, status: int
     ) -> None:
         """Records that a backend server answered a request.
 
@@ -308,7 +254,7 @@
             self._parts.store()
 
     def _is_trial_due(
-        self, request: Request, found: suspicion.Suspicion
+        self, request: contents.Request, found: suspicion.Suspicion
     ) -> bool:
         if found.trials >= len(_TRIAL_DELAYS_S):
             return False
@@ -344,7 +290,7 @@
     return found.highest_count >= _limit(found)
 
 
-def _is_held_for(found: suspicion.Suspicion, request: Request) -> bool:
+def _is_held_for(found: suspicion.Suspicion, request: contents.Request) -> bool:
     return found.count(request.scope) >= _limit(found)
 
 
@@ -357,14 +303,6 @@
     return _LIFETIME_S if found.open else _CLEARED_LIFETIME_S
 
 
-def _hash(size: int, *parts: bytes) -> bytes:
-    content = hashlib.blake2b(digest_size=size)
-    for part in parts:
-        content.update(len(part).to_bytes(8, "big"))
-        content.update(part)
-    return content.digest()
-
-
 def create_suspects(parts: Parts) -> Suspects:
     """Returns an empty set of suspects."""
     return Suspects(parts)
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -1,8 +1,8 @@
 """Tests of finding the requests that a crashed backend server was running."""
 
 from savorybend.relay import backend
+from savorybend.relay import contents
 from savorybend.relay import crashes
-from savorybend.relay import suspects
 from tests import fakes
 from tests.relay import samples
 
@@ -46,7 +46,7 @@
         )
 
     def begin(self):
-        return self.crashes.begin(suspects.Request(samples.call()))
+        return self.crashes.begin(contents.Request(samples.call()))
 
     def requests_blamed(self):
         return [request for request, _ in self.blamed]
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from savorybend.relay import contents
 from savorybend.relay import suspects
 from tests import fakes
 from tests.relay import samples
@@ -55,7 +56,7 @@
 
 
 def _request(**changes):
-    return suspects.Request(samples.call(**changes))
+    return contents.Request(samples.call(**changes))
 
 
 def _holding(**changes):
