Remember across a restart that the backend server has left

Callers' requests were sent to a backend server that had left with its daemon's acknowledgement: the daemon was stopped and started, and a late announcement made it ready again. Evidence: the new test in test_daemons.py failed on the code before (20 of 20 requests ran at the one that had left) and passes.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -449,10 +449,9 @@
         for server in self._servers:
             server.close()
         self._peer_server.close()
-        if not self._server.takes_calls:
-            # Without its backend server, this VM is probably being removed.
-            # Otherwise the record is kept, so that the daemon's next start
-            # can use the backend server at once.
+        if self._server.current is None:
+            # Otherwise the record is kept: the daemon's next start must know
+            # whether the backend server has left.
             await self._own_record.remove()
         for task in list(self._tasks):
             task.cancel()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -116,6 +116,10 @@
         await self.start()
         self._restarting = None
 
+    def stop_announcing(self):
+        """Announces itself no more by itself."""
+        self._announcing.cancel()
+
     async def announce(self, **changes):
         """Announces itself once; returns the answer's status."""
         self._sequence += 1
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -84,6 +84,25 @@
     assert len(leaving.ran) == before
 
 
+async def test_a_late_announcement_revives_no_server_that_left_before_a_restart(
+    fleet,
+):
+    machine = fleet.machines[0]
+    left = machine.worker
+    late = {"state": "ready", "sequence": 1, "coldRemaining": "0ms"}
+    left.stop_announcing()
+    assert await left.leave() == 200
+    machine.signal(signal.SIGTERM)
+    await machine.ended()
+    await machine.start_daemon()
+    await fleet.until(machine.ready)
+    await left.announce(status=late)
+    before = len(left.ran)
+    for number in range(20):
+        await fleet.call(machine, "/reads/x", f"late-{number}")
+    assert len(left.ran) == before
+
+
 async def test_a_leave_is_acknowledged_while_the_store_is_down(fleet):
     fleet.store.trouble = fleets.standin_store.Trouble.SILENT
     leaving = fleet.machines[0].worker
