Check a backend server once for all calls that one crash broke

A backend server that crashed with many calls in flight was probed with one new connection for each: since its incarnation is noted and not each call, the first of several calls was no longer told apart. Evidence: the new test failed on the code before (3 checks for 3 calls) and passes.

--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -243,8 +243,9 @@
     def _note_broken(self, incarnation: crashes.Incarnation) -> None:
         # A connection may also break while the backend server stays alive, so
         # its liveness is checked before requests become suspects.
+        check_pending = bool(self._broken)
         self._broken.add(incarnation)
-        if len(self._broken) == 1:
+        if not check_pending:
             self._parts.watchdog.check(self._on_checked)
 
     def _on_checked(self, alive: bool) -> None:
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -40,38 +40,68 @@
         pass
 
 
-def test_a_call_that_waited_is_not_sent_if_its_content_is_held_by_then():
-    clock, pool, suspects = fakes.create_clock(), _Pool(), _Suspects()
-    server = backend.BackendServer(_ADDRESS, 1.0, clock, lambda: None)
-    served = serving.create_serving(
-        serving.Parts(
-            server=server,
-            pool=pool,
-            call_queue=callqueue.create_call_queue(
-                callqueue.Parts(
-                    clock,
-                    lambda: 0.5,
-                    admission.create_capacity_estimator(clock),
-                )
-            ),
-            suspects=suspects,
-            watchdog=None,
-            clock=clock,
-            takes_calls=lambda: True,
+class _Watchdog:
+    """Counts checks, which never end."""
+
+    def __init__(self):
+        self.checks = 0
+
+    def check(self, callback):
+        self.checks += 1
+
+
+class _Daemon:
+    """The serving side of a daemon and what became of its calls."""
+
+    def __init__(self, slots):
+        clock = fakes.create_clock()
+        self.pool, self.suspects = _Pool(), _Suspects()
+        self.watchdog = _Watchdog()
+        self.outcomes = {}
+        server = backend.BackendServer(_ADDRESS, 1.0, clock, lambda: None)
+        estimator = admission.create_capacity_estimator(clock)
+        self._serving = serving.create_serving(
+            serving.Parts(
+                server=server,
+                pool=self.pool,
+                call_queue=callqueue.create_call_queue(
+                    callqueue.Parts(clock, lambda: 0.5, estimator)
+                ),
+                suspects=self.suspects,
+                watchdog=self.watchdog,
+                clock=clock,
+                takes_calls=lambda: True,
+            )
         )
-    )
-    server.announce(
-        backend.Announcement("i-1", "ledger", _ADDRESS, 1, False, 1, 1, 0.0)
-    )
-    served.on_server_change()
-    found = {}
-    for name in ("first", "waits"):
-        served.submit(
+        server.announce(
+            backend.Announcement(
+                "i-1", "ledger", _ADDRESS, slots, False, 1, 1, 0.0
+            )
+        )
+        self._serving.on_server_change()
+
+    def submit(self, name):
+        self._serving.submit(
             samples.call(request_id=name),
-            lambda outcome, name=name: found.update({name: outcome}),
+            lambda outcome: self.outcomes.update({name: outcome}),
         )
-    suspects.holds = True
-    [(_, answer)] = pool.dispatched
+
+
+def test_a_call_that_waited_is_not_sent_if_its_content_is_held_by_then():
+    daemon = _Daemon(slots=1)
+    daemon.submit("first")
+    daemon.submit("waits")
+    daemon.suspects.holds = True
+    [(_, answer)] = daemon.pool.dispatched
     answer(outcomes.Ran(200, b"", b""))
-    assert len(pool.dispatched) == 1
-    assert found["waits"].reason == outcomes.QUARANTINED
+    assert len(daemon.pool.dispatched) == 1
+    assert daemon.outcomes["waits"].reason == outcomes.QUARANTINED
+
+
+def test_calls_that_one_crash_broke_are_checked_together():
+    daemon = _Daemon(slots=8)
+    for name in "abc":
+        daemon.submit(name)
+    for _, answer in daemon.pool.dispatched:
+        answer(outcomes.Lost(outcomes.BACKEND_SERVER_LOST))
+    assert daemon.watchdog.checks == 1
