Clear a crash of the own interface whose report comes after the answer

A request that was answered could still be quarantined at a daemon that heard of the answer before it heard of the crash, from two other daemons. Cause: a clearing of an unknown content was passed over, and the crash counted after it. Change: the cleared crashes are kept for a report that may still come.

--- a/src/savorybend/internal/quarantine.py
+++ b/src/savorybend/internal/quarantine.py
@@ -275,26 +275,33 @@
     def _on_death(self, peer: str, message: wire.Death) -> None:
         suspect = self._suspects.get(message.fingerprint)
         if suspect is None or not self._is_current(suspect):
-            suspect = _Suspect(message.fingerprint)
+            suspect = self._add(message.fingerprint)
         death = (message.seen_by or peer, message.sequence)
         if death in suspect.voided or death in suspect.deaths:
             return
         suspect.deaths.add(death)
         crash_s = self._parts.clock.now_s() - message.age_s
         suspect.last_crash_s = max(suspect.last_crash_s, crash_s)
-        self._suspects[message.fingerprint] = suspect
         self._suspects.move_to_end(message.fingerprint)
+
+    def _add(self, fingerprint: bytes) -> _Suspect:
+        suspect = self._suspects[fingerprint] = _Suspect(fingerprint)
+        self._suspects.move_to_end(fingerprint)
         if len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
+        return suspect
 
     def _on_cleared(self, peer: str, message: wire.Cleared) -> None:
         suspect = self._suspects.get(message.fingerprint)
         if suspect is None:
-            return
+            suspect = self._add(message.fingerprint)
         cleared = {(name, number) for name, number in message.deaths}
         suspect.voided |= cleared or suspect.deaths
         suspect.deaths -= suspect.voided
         suspect.own_crash_s = -math.inf
+        if suspect.last_crash_s == -math.inf:
+            # The crash's own report may still come.
+            suspect.last_crash_s = self._parts.clock.now_s()
         suspect.trial_over.set()
 
 
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -263,3 +263,16 @@
     received.handlers[wire.Death]("back-1", death)
     _crash(other, other.begin(call, _BODY))
     assert _reason(other, call) != "quarantined"
+
+
+def test_an_answer_heard_before_the_crash_that_it_clears_still_clears_it():
+    suspects, transport, _ = _create("back-1")
+    call = _call("/back/x")
+    _crash(suspects, suspects.begin(call, _BODY))
+    suspects.note_answer(quarantine.Run(call, _BODY, 0.0))
+    [(_, death), (_, cleared)] = transport.sent
+    other, received, _ = _create("back-2", others=("back-1",))
+    received.handlers[wire.Cleared]("back-1", cleared)
+    received.handlers[wire.Death]("back-1", death)
+    _crash(other, other.begin(call, _BODY))
+    assert _reason(other, call) != "quarantined"
