Log and count the conditions that a backend server names in its answers

Nothing is done about a limit yet. Change: a daemon reads Server-Limit and Server-Leaving, logs a change once, logs an invalid value at most every 10 s and cut to 32 bytes, and has metrics of requests sent, limit in force and leaving. Both headers are addressed to daemons and are no longer passed on to callers.

--- a/src/savorybend/platform/headers.py
+++ b/src/savorybend/platform/headers.py
@@ -1,10 +1,12 @@
 """Converts HTTP headers to and from this system's types."""
 
+import math
 import re
 
 from savorybend.platform import names
 from savorybend.relay import callers
 from savorybend.relay import calls
+from savorybend.relay import conditions
 from savorybend.relay import http1
 from savorybend.relay import outcomes
 from savorybend.relay import upstream
@@ -31,7 +33,9 @@
     names.INSTANCE,
 }
 _DROPPED_FROM_REQUESTS = _HOP_BY_HOP | _SET_BY_DAEMON
-_DROPPED_FROM_RESPONSES = _HOP_BY_HOP | {names.LOAD}
+# Addressed to daemons, not to callers.
+_FOR_DAEMONS = {names.LOAD, names.LIMIT, names.LEAVING}
+_DROPPED_FROM_RESPONSES = _HOP_BY_HOP | _FOR_DAEMONS
 # A success without these isn't the backend server's, or not this request's.
 _REQUIRED_ON_SUCCESS = {names.SIGNATURE, names.REQUEST_ID}
 _MISDIRECTED = 421
@@ -39,6 +43,8 @@
 _FIRST_REDIRECT = 300
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 _MIN_DEADLINE_MS = 1
+_MAX_LIMIT_CHARACTERS = 32
+_LEAVES = b"1"
 
 
 class Ingress:
@@ -156,6 +162,17 @@
         ]
         return outcomes.Ran(response.status, b"".join(head), response.body)
 
+    def conditions(self, headers: http1.Headers) -> conditions.Conditions:
+        """Returns the conditions that a response names."""
+        limit: conditions.Limit = conditions.Unlimited()
+        leaving = False
+        for name, value in headers:
+            if name == names.LIMIT:
+                limit = conditions.stricter(limit, _parse_limit(value))
+            elif name == names.LEAVING:
+                leaving = leaving or value.strip() == _LEAVES
+        return conditions.Conditions(limit, leaving)
+
     def idle_timeout_s(self, headers: http1.Headers) -> float | None:
         """Returns the announced idle timeout in seconds; None if absent."""
         for name, value in headers:
@@ -163,3 +180,16 @@
                 found = _TIMEOUT.search(value)
                 return float(found[1]) if found else None
         return None
+
+
+def _parse_limit(value: bytes) -> conditions.Limit:
+    invalid = conditions.Invalid(value[:_MAX_LIMIT_CHARACTERS])
+    if len(value) > _MAX_LIMIT_CHARACTERS or b"_" in value:
+        return invalid
+    try:
+        rate_per_s = float(value)
+    except ValueError:
+        return invalid
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
+        return invalid
+    return conditions.Limited(rate_per_s)
--- a/src/savorybend/platform/names.py
+++ b/src/savorybend/platform/names.py
@@ -10,6 +10,8 @@
 NOT_EXECUTED = b"not-executed"
 INSTANCE_ID = b"instance-id"
 LOAD = b"server-load"
+LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 STORE_ERA = b"store-era"
 
 HEARTBEAT_PATH = b"/heartbeat"
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -36,6 +36,8 @@
 from savorybend.relay import recordfeed
 from savorybend.relay import replica
 from savorybend.relay import retrybudget
+from savorybend.relay import servermetrics
+from savorybend.relay import serverterms
 from savorybend.relay import serving
 from savorybend.relay import settings
 from savorybend.relay import shutdown
@@ -141,12 +143,21 @@
             self._call_queue,
             self._callees,
         )
+        self._server_terms = serverterms.create_server_terms(
+            self._server, clock
+        )
         self._pool = pool.Pool(
             loaded_settings.backend_server_address,
             adapter.backend,
             clock,
             self._tasks,
             loaded_settings.max_memory_bytes,
+            self._server_terms.note_answer,
+        )
+        self._counters.include(
+            servermetrics.create_server_metrics(
+                servermetrics.Parts(self._pool, self._server_terms)
+            )
         )
         self._watchdog = watchdog.Watchdog(
             self._server, self._pool, clock, self._tasks
@@ -442,6 +453,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
     def _on_server_change(self) -> None:
+        self._server_terms.on_server_change()
         self._own_statement.change()
         self._serving.on_server_change()
         self._peer_server.announce()
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -10,9 +10,11 @@
 
 from savorybend.internal import timers
 from savorybend.relay import calls
+from savorybend.relay import conditions
 from savorybend.relay import http1
 from savorybend.relay import outcomes
 from savorybend.relay import responselimits
+from savorybend.relay import serverterms
 from savorybend.relay import upstream
 
 _CONNECT_TIMEOUT_S = 0.5
@@ -47,6 +49,9 @@
     ) -> outcomes.Outcome:
         """Returns the outcome that a response stands for."""
 
+    def conditions(self, headers: http1.Headers) -> conditions.Conditions:
+        """Returns what a response says of the backend server."""
+
     def idle_timeout_s(self, headers: http1.Headers) -> float | None:
         """Returns the announced idle timeout in seconds; None if absent."""
 
@@ -76,6 +81,7 @@
 
 
 OnDone = collections.abc.Callable[[outcomes.Outcome], None]
+OnAnswer = collections.abc.Callable[[serverterms.Answered], None]
 
 
 class Pool:
@@ -88,6 +94,7 @@
         clock: timers.Clock,
         tasks: set,
         max_memory_bytes: int,
+        on_answer: OnAnswer,
     ):
         self._limits = responselimits.Limits(
             body_bytes=int(max_memory_bytes * _MAX_BODY_FRACTION)
@@ -100,11 +107,18 @@
         self._codec = codec
         self._clock = clock
         self._tasks = tasks
+        self._on_answer = on_answer
+        self._requests_sent = 0
         self._idle: list[upstream.ServerConnection] = []
         self._open: set[upstream.ServerConnection] = set()
         self._idle_limit_s = _DEFAULT_IDLE_S
         self._last_answer_s = clock.now_s()
 
+    @property
+    def requests_sent(self) -> int:
+        """Number of requests sent since this daemon started."""
+        return self._requests_sent
+
     @property
     def last_answer_s(self) -> float:
         """When the backend server last answered."""
@@ -221,17 +235,23 @@
             if dispatch.finished:
                 return
             dispatch.finished = True
-            callback(self._outcome(call, result))
+            callback(self._outcome(call, instance, sent_s, result))
 
         expected = upstream.PendingRequest(
             lambda headers: self._codec.accepts(call.request_id, headers),
             on_result,
         )
-        left_s = call.deadline_s - self._clock.now_s()
+        sent_s = self._clock.now_s()
+        left_s = call.deadline_s - sent_s
+        self._requests_sent += 1
         connection.send(self._codec.encode(call, instance, left_s), expected)
 
     def _outcome(
-        self, call: calls.Call, result: upstream.Result
+        self,
+        call: calls.Call,
+        instance: str,
+        sent_s: float,
+        result: upstream.Result,
     ) -> outcomes.Outcome:
         match result:
             case upstream.Response():
@@ -240,7 +260,13 @@
                 if idle_timeout_s is not None:
                     limit_s = idle_timeout_s * _IDLE_FRACTION
                     self._idle_limit_s = max(_MIN_IDLE_S, limit_s)
-                return self._codec.decode(call.request_id, result)
+                outcome = self._codec.decode(call.request_id, result)
+                if not _is_of_another(outcome):
+                    named = self._codec.conditions(result.headers)
+                    self._on_answer(
+                        serverterms.Answered(instance, sent_s, named)
+                    )
+                return outcome
             case upstream.NoResponse(garbled=True):
                 return outcomes.Lost(outcomes.GARBLED)
         return outcomes.Lost(outcomes.BACKEND_SERVER_LOST)
@@ -251,3 +277,11 @@
 
     def _on_end(self, connection: upstream.ServerConnection) -> None:
         self._open.discard(connection)
+
+
+def _is_of_another(outcome: outcomes.Outcome) -> bool:
+    """Returns whether another backend server than the named one answered."""
+    match outcome:
+        case outcomes.NotRun(reason=outcomes.NOT_THE_INSTANCE):
+            return True
+    return False
