Keep the stand-in announcing itself after its daemon is killed

A heartbeat that was open when the daemon ended raised an error that isn't an OSError, and the stand-in never announced itself again. So after a kill beside a store that is away, its daemon had no backend server, and a test of calls to a server that left passed for that reason.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 
+from aiohttp import ClientError
 from aiohttp import ClientSession
 from aiohttp import web
 
@@ -155,7 +156,7 @@
 
     async def _announce_often(self):
         while True:
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError, ClientError):
                 await self.announce()
             await asyncio.sleep(_ANNOUNCE_EVERY_S)
 
