Add failing tests of servers that name a limit or that they leave

Real daemons and a stand-in that adds Server-Limit and Server-Leaving to its answers; a record of what callers sent finds, for each server, the most requests in any 4 s from daemons that had passed on the limit 0.5 s before.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -7,6 +7,8 @@
 import asyncio
 import contextlib
 import json
+import time
+import typing
 
 from aiohttp import ClientError
 from aiohttp import ClientSession
@@ -15,10 +17,23 @@
 _ANNOUNCE_EVERY_S = 0.3
 
 
+class Arrival(typing.NamedTuple):
+    """A request as it reached the backend server.
+
+    Attributes:
+        at_s: When it arrived, by the system's monotonic clock, in seconds.
+        request_id: Its ID.
+    """
+
+    at_s: float
+    request_id: str
+
+
 class Worker:
     """A backend server.
 
     Attributes:
+        arrivals: All requests that name it as their target, in order.
         ran: IDs of the requests that it began to run, in order.
         seen: Headers of each request, by ID.
         draining: Whether it says that it is leaving.
@@ -31,6 +46,9 @@
         crashed: IDs of the requests that it crashed under, in order.
         down_s: How long it is down after a crash.
         keeps_id: Whether it has the same ID after a crash.
+        limit: The limit on requests a second that its answers name; empty for
+            none.
+        leaving: Whether its answers say that it leaves.
     """
 
     def __init__(self, service, address, control, instance="i-1", slots=4):
@@ -39,6 +57,7 @@
         self.control = control
         self.instance = instance
         self.slots = slots
+        self.arrivals = []
         self.ran = []
         self.seen = {}
         self.draining = False
@@ -54,6 +73,8 @@
         self.crashed = []
         self.down_s = 0.3
         self.keeps_id = False
+        self.limit = ""
+        self.leaving = False
         self._first_instance = instance
         self._sequence = 0
         self._runner = None
@@ -160,6 +181,12 @@
                 await self.announce()
             await asyncio.sleep(_ANNOUNCE_EVERY_S)
 
+    def _conditions(self):
+        named = {"Server-Limit": self.limit} if self.limit else {}
+        if self.leaving:
+            named["Server-Leaving"] = "1"
+        return named
+
     async def _handle(self, request):
         request_id = request.headers.get("Request-Id", "")
         self._transports.add(request.transport)
@@ -170,6 +197,7 @@
             return web.Response(
                 status=421, headers={"Instance-Id": self.instance}
             )
+        self.arrivals.append(Arrival(time.monotonic(), request_id))
         body = await request.read()
         self.ran.append(request_id)
         self.seen[request_id] = dict(request.headers)
@@ -180,6 +208,7 @@
         await asyncio.sleep(self.hold_s)
         await self.hold.wait()
         headers = {"Request-Id": request_id, "Response-Signature": "s"}
+        headers.update(self._conditions())
         if self.spoil == "reset":
             request.transport.abort()
         if self.spoil == "unsigned":
--- /dev/null
+++ b/tests/platform/test_server_limits.py
@@ -0,0 +1,168 @@
+"""Backend servers that name a limit, or that they leave, at real daemons."""
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from standins import objects as standin_store
+from tests.platform import callers
+from tests.platform import fleets
+
+_SERVICES = ["ledger"] * 6
+_DRAIN_S = 2.0
+_NAMED_FOR_S = callers.STABILITY_WINDOW_S + callers.LIMIT_WINDOW_S + 1.0
+# Of what a limit allows, when calls are never short.
+_LEAST_USED = 0.75
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with fleets.running(tmp_path, _SERVICES, data_centres=2) as found:
+        for machine in found.machines:
+            machine.worker.hold_s = 0.02
+        yield found
+
+
+def _name_limit(machines, rate_per_s):
+    for machine in machines:
+        machine.worker.limit = str(rate_per_s)
+    return time.monotonic()
+
+
+def _assert_within_limit(calls, machines, named_s, rate_per_s):
+    got = {
+        machine.name: calls.most_in_window(machine.worker, named_s)
+        for machine in machines
+    }
+    assert max(got.values()) <= callers.allowed_in_window(rate_per_s), got
+
+
+def _assert_all_served(calls, named_s):
+    not_served = [one for one in calls.since(named_s) if one.status != 200]
+    assert not_served == []
+
+
+def _start_leaving(fleet):
+    """Lets the quickest server, which gets the most calls, say it leaves."""
+    for machine in fleet.machines[1:]:
+        machine.worker.hold_s = 0.1
+    fleet.machines[0].worker.leaving = True
+    return time.monotonic()
+
+
+async def _restart(calls, machine):
+    calls.note_disturbed(machine)
+    machine.signal(signal.SIGKILL)
+    await machine.ended()
+    await machine.start_daemon()
+    await calls.fleet.until(machine.ready)
+    calls.note_disturbed(machine)
+
+
+@pytest.mark.parametrize("entries", [6, 1])
+async def test_one_server_names_a_limit_and_callers_do_not_notice(
+    fleet, entries
+):
+    calls = callers.Callers(fleet)
+    limited = fleet.machines[:1]
+    named_s = _name_limit(limited, 6)
+    await calls.run(_NAMED_FOR_S, 120, fleet.machines[:entries])
+    await calls.finish()
+    _assert_within_limit(calls, limited, named_s, 6)
+    _assert_all_served(calls, named_s)
+
+
+async def test_a_slow_server_names_a_limit_and_callers_do_not_notice(fleet):
+    calls = callers.Callers(fleet)
+    limited = fleet.machines[:1]
+    limited[0].worker.hold_s = 0.15
+    named_s = _name_limit(limited, 2.5)
+    await calls.run(_NAMED_FOR_S, 60)
+    await calls.finish()
+    _assert_within_limit(calls, limited, named_s, 2.5)
+    _assert_all_served(calls, named_s)
+
+
+async def test_all_servers_name_a_limit_and_use_it_for_important_calls(fleet):
+    calls = callers.Callers(fleet)
+    named_s = _name_limit(fleet.machines, 10)
+    await calls.run(_NAMED_FOR_S, 160, paths=["/posts/x"] + ["/reads/x"] * 3)
+    await calls.finish()
+    _assert_within_limit(calls, fleet.machines, named_s, 10)
+    settled = calls.since(named_s + callers.STABILITY_WINDOW_S)
+    served = [one for one in settled if one.status == 200]
+    refused = [one for one in settled if one.status != 200]
+    assert {one.status for one in refused} == {503}
+    assert all(one.retry_after_s for one in refused)
+    fleet_rate_per_s = 10 * len(fleet.machines)
+    for_s = _NAMED_FOR_S - callers.STABILITY_WINDOW_S
+    assert len(served) >= fleet_rate_per_s * for_s * _LEAST_USED
+    important = [one for one in settled if one.path == "/posts/x"]
+    kept = [one for one in important if one.status == 200]
+    assert len(kept) / len(important) > len(served) / len(settled)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+async def test_a_limit_is_kept_over_restarts_and_freezes_of_daemons(
+    fleet, number
+):
+    calls = callers.Callers(fleet)
+    named_s = _name_limit(fleet.machines, 4)
+    load = asyncio.create_task(calls.run(_NAMED_FOR_S + 6, 200))
+    await asyncio.sleep(callers.STABILITY_WINDOW_S)
+    for machine in fleet.machines[:3]:
+        if number == signal.SIGKILL:
+            await _restart(calls, machine)
+            continue
+        calls.note_disturbed(machine)
+        machine.signal(signal.SIGSTOP)
+        await asyncio.sleep(1.5)
+        machine.signal(signal.SIGCONT)
+        calls.note_disturbed(machine)
+    await load
+    await calls.finish()
+    _assert_within_limit(calls, fleet.machines, named_s, 4)
+
+
+async def test_a_limit_ends_with_the_answers_that_name_it(fleet):
+    calls = callers.Callers(fleet)
+    _name_limit(fleet.machines, 4)
+    await calls.run(3, 100)
+    _name_limit(fleet.machines, "")
+    await calls.run(3, 100)
+    settled_s = time.monotonic()
+    await calls.run(2, 100)
+    await calls.finish()
+    _assert_all_served(calls, settled_s)
+
+
+async def test_a_server_that_says_it_leaves_in_answers_gets_no_more_calls(
+    fleet,
+):
+    calls = callers.Callers(fleet)
+    await calls.run(1, 100)
+    named_s = _start_leaving(fleet)
+    await calls.run(_DRAIN_S + 3, 100)
+    await calls.finish()
+    leaving = fleet.machines[0].worker
+    assert calls.arrived_later_than(leaving, _DRAIN_S, named_s) == []
+    _assert_all_served(calls, named_s)
+
+
+async def test_a_server_that_leaves_is_not_used_again_after_a_restart(fleet):
+    calls = callers.Callers(fleet)
+    machine = fleet.machines[0]
+    fleet.store.trouble = standin_store.Trouble.RESET
+    await calls.run(1, 100)
+    named_s = _start_leaving(fleet)
+    load = asyncio.create_task(calls.run(12, 100))
+    for _ in range(2):
+        await asyncio.sleep(2.0)
+        await _restart(calls, machine)
+    await asyncio.sleep(2.0)
+    fleet.store.trouble = standin_store.Trouble.NONE
+    await load
+    await calls.finish()
+    assert calls.arrived_later_than(machine.worker, _DRAIN_S, named_s) == []
