Keep to the limit that a backend server names, at the daemon beside it

Cause: the header was not read by anything that decides. Change: all requests to a server pass through its daemon, so that one keeps a token bucket. It starts empty, saves up little, and refuses a call whose token is over 0.1 s away, so that another daemon takes it. A response ends or raises a limit only if its request was sent after the limit was read, since responses overtake each other; a limit belongs to one start of a server. Invalid values change nothing. Why it works: the bucket bounds every window of 4 s, whichever daemon a request began at.

--- a/src/savorybend/relay/admission.py
+++ b/src/savorybend/relay/admission.py
@@ -87,6 +87,8 @@
         self._clock = clock
         self._share = FULL_SHARE
         self._limit = 0
+        self._rate_per_s = math.inf
+        self._started = 0
         self._running = 0
         self._last_change_s = clock.now_s()
         self._window_start_s = self._last_change_s
@@ -101,6 +103,10 @@
         self._end_window_if_due()
         return self._share
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Sets how many calls may start per second; infinite for any."""
+        self._rate_per_s = rate_per_s
+
     def note_arrival(self) -> None:
         """Records that a call arrived at the queue."""
         self._arrived += 1
@@ -120,6 +126,7 @@
 
     def note_started(self, waited_s: float) -> None:
         """Records the queue delay of a started call, in seconds."""
+        self._started += 1
         if self._min_wait_s is None or waited_s < self._min_wait_s:
             self._min_wait_s = waited_s
 
@@ -132,12 +139,17 @@
             return
         busy_s = self._busy_s + self._running * (now_s - self._last_change_s)
         if self._limit:
-            self._adjust_share(busy_s / (length_s * self._limit), length_s)
+            utilization = max(
+                busy_s / (length_s * self._limit),
+                self._started / (length_s * self._rate_per_s),
+            )
+            self._adjust_share(utilization, length_s)
         self._window_start_s = now_s
         self._last_change_s = now_s
         self._busy_s = 0.0
         self._arrived = 0
         self._shed = 0
+        self._started = 0
         self._min_wait_s = None
 
     def _adjust_share(self, utilization: float, length_s: float) -> None:
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -130,7 +130,7 @@
         )
         self._call_queue = callqueue.create_call_queue(
             callqueue.Parts(
-                clock,
+                self._timers,
                 self._rng.random,
                 admission.create_capacity_estimator(clock),
             )
@@ -144,7 +144,7 @@
             self._callees,
         )
         self._server_terms = serverterms.create_server_terms(
-            self._server, clock
+            serverterms.Parts(self._server, clock, self._call_queue.set_rate)
         )
         self._pool = pool.Pool(
             loaded_settings.backend_server_address,
--- a/src/savorybend/relay/backend.py
+++ b/src/savorybend/relay/backend.py
@@ -115,7 +115,8 @@
         return waited_s > _OVERDUE_INTERVALS * self._interval_s
 
     @property
-    def _identity(self) -> tuple[str, int] | None:
+    def identity(self) -> tuple[str, int] | None:
+        """ID and start, in Unix milliseconds, of `current`; None without."""
         if self._current is None:
             return None
         return (self._current.instance, self._current.born_ms)
@@ -158,14 +159,14 @@
         if self._is_outdated(announcement):
             self._log_rejection(announcement, "older than the known state")
             return AnnouncementResult(changed=False, valid=True)
-        previous = (self._state, self._identity)
+        previous = (self._state, self.identity)
         slots = self._current.slots if self._current else 0
         self._current = announcement
         self._restored = None
         self._last_announced_s = self._clock.now_s()
         self._apply_trigger("drain" if announcement.draining else "announce")
         changed = (
-            previous != (self._state, self._identity)
+            previous != (self._state, self.identity)
             or slots != announcement.slots
         )
         if changed:
--- a/src/savorybend/relay/callqueue.py
+++ b/src/savorybend/relay/callqueue.py
@@ -1,4 +1,4 @@
-"""Queues calls for the local backend server and limits its concurrency.
+"""Queues calls for the local backend server; limits concurrency and rate.
 
 Child calls go first, since refusing them wastes the work that their parent
 requests have already done. Other calls follow by priority and then by the fair
@@ -14,6 +14,7 @@
 from savorybend.relay import admission
 from savorybend.relay import calls
 from savorybend.relay import outcomes
+from savorybend.relay import ratelimit
 
 _MEAN_DECAY = 0.95
 _INITIAL_MEAN_S = 0.05
@@ -21,6 +22,10 @@
 # holds one call per slot instead. A longer queue adds latency but no
 # throughput.
 _MAX_QUEUE_DELAY_S = 0.1
+# Longest expected wait for a rate limit; another backend server may have none.
+_MAX_RATE_DELAY_S = 0.1
+# Longest wait, since more important calls may arrive that go first.
+_RATE_PATIENCE_S = 0.2
 # A call whose remaining time is below this fraction of the mean service time
 # is not expected to finish in time.
 _MIN_SERVICE_FRACTION = 0.6
@@ -125,11 +130,15 @@
 
     def __init__(
         self,
-        clock: timers.Clock,
+        timer_service: timers.TimerService,
         random_fraction: collections.abc.Callable[[], float],
         estimator: admission.CapacityEstimator,
     ):
+        clock = timer_service.clock
+        self._timers = timer_service
         self._clock = clock
+        self._rate_limit = ratelimit.create_rate_limit(clock)
+        self._wake_up: timers.Subscription | None = None
         self._random_fraction = random_fraction
         self._estimator = estimator
         self._limit = 0
@@ -146,7 +155,7 @@
         return outcomes.Load(
             self._running,
             len(self._queue),
-            self._limit,
+            self._capacity,
             self._times.mean_s if measured else outcomes.NOT_MEASURED_S,
             self._estimator.share,
             {},
@@ -163,10 +172,19 @@
         self._estimator.note_running(self._running, limit)
         self._start_queued()
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Sets how many calls may start per second; infinite for any number."""
+        self._rate_limit.set_rate(rate_per_s)
+        self._estimator.set_rate(rate_per_s)
+        for waiter in self._queue.waiters:
+            queued_call = waiter.token
+            queued_call.until_s = self._until_s(queued_call.call)
+        self._start_queued()
+
     def enter(self, queued_call: QueuedCall) -> None:
         """Starts a call, queues it or refuses it at once."""
         self._estimator.note_arrival()
-        if self._running < self._limit and not len(self._queue):
+        if not len(self._queue) and self._may_start():
             self._start(queued_call)
             return
         self._sweep_if_due()
@@ -176,6 +194,7 @@
             queued_call.on_refuse(queued_call, refusal)
             return
         self._push(queued_call)
+        self._start_queued()
 
     def leave(self, queued_call: QueuedCall, answered: bool) -> None:
         """Releases the slot of a call.
@@ -212,9 +231,7 @@
             queued_call = waiter.token
             if now_s > queued_call.until_s:
                 self._queue.remove(waiter)
-                queued_call.on_refuse(
-                    queued_call, self._not_run(outcomes.TOO_LATE)
-                )
+                queued_call.on_refuse(queued_call, self._expired())
 
     def _sweep_if_due(self) -> None:
         if self._clock.now_s() - self._last_sweep_s >= _SWEEP_INTERVAL_S:
@@ -242,16 +259,45 @@
             queued_call,
         )
         self._queue.push(queued_call.waiter)
-        calls_per_slot = max(1.0, _MAX_QUEUE_DELAY_S / self._times.mean_s)
-        if len(self._queue) > self._limit * calls_per_slot:
+        if len(self._queue) > self._max_queued:
             dropped = self._queue.drop(False).token
-            dropped.on_refuse(dropped, self._not_run(outcomes.OVERLOADED))
+            dropped.on_refuse(dropped, self._not_run(self._full_reason))
+
+    @property
+    def _capacity(self) -> int:
+        """How many calls run at once if calls never run out."""
+        if not self._rate_limit.limited:
+            return self._limit
+        by_rate = math.ceil(self._rate_limit.rate_per_s * self._times.mean_s)
+        return min(self._limit, max(1, by_rate))
+
+    @property
+    def _max_queued(self) -> float:
+        """Number of queued calls above which one is dropped."""
+        if self._rate_limit.limited:
+            return max(1.0, self._rate_limit.rate_per_s * _MAX_RATE_DELAY_S)
+        return self._limit * max(1.0, _MAX_QUEUE_DELAY_S / self._times.mean_s)
+
+    @property
+    def _full_reason(self) -> str:
+        if self._rate_limit.limited:
+            return outcomes.SERVER_LIMIT
+        return outcomes.OVERLOADED
+
+    def _expired(self) -> outcomes.NotRun:
+        """Returns the refusal of a call that has waited too long."""
+        if self._rate_limit.limited:
+            return self._not_run(outcomes.SERVER_LIMIT)
+        return self._not_run(outcomes.TOO_LATE)
 
     def _until_s(self, call: calls.Call) -> float:
         """Returns the time at which a waiting call is refused."""
         latest_start_s = (
             call.deadline_s - self._times.of(call.route) * _MIN_SERVICE_FRACTION
         )
+        if self._rate_limit.limited:
+            patience_ends_s = self._clock.now_s() + _RATE_PATIENCE_S
+            return min(latest_start_s, patience_ends_s)
         if call.priority < 0:
             return latest_start_s
         now_s = self._clock.now_s()
@@ -263,6 +309,8 @@
         if self._limit == 0:
             return outcomes.NotRun(outcomes.NO_BACKEND_SERVER)
         ahead = self._queue.count_more_important(call.priority + 1)
+        if self._rate_limit.wait_s(ahead) > _MAX_RATE_DELAY_S:
+            return self._not_run(outcomes.SERVER_LIMIT)
         wait_s = (ahead + 1) * self._times.mean_s / self._limit
         service_s = self._times.of(call.route)
         start_s = self._clock.now_s() + wait_s
@@ -275,23 +323,44 @@
 
     def _not_run(self, reason: str) -> outcomes.NotRun:
         self._estimator.note_shed()
-        drain_s = len(self._queue) * self._times.mean_s / max(1, self._limit)
+        queued = len(self._queue)
+        drain_s = max(
+            queued * self._times.mean_s / max(1, self._limit),
+            self._rate_limit.wait_s(queued),
+        )
         # Jitter, so that calls refused together aren't retried together.
         retry_after_s = max(_MIN_RETRY_AFTER_S, drain_s) * (
             0.5 + self._random_fraction()
         )
         return outcomes.NotRun(reason, retry_after_s=retry_after_s)
 
+    def _may_start(self) -> bool:
+        """Takes a token if a slot is free; returns whether a call may start."""
+        return self._running < self._limit and self._rate_limit.take()
+
     def _start_queued(self) -> None:
         while self._running < self._limit and len(self._queue):
+            wait_s = self._rate_limit.wait_s(0)
+            if wait_s > 0:
+                self._wake_up_in(wait_s)
+                return
             queued_call = self._queue.pop(False).token
             refusal = queued_call.check()
             if refusal is None and self._clock.now_s() > queued_call.until_s:
-                refusal = self._not_run(outcomes.TOO_LATE)
+                refusal = self._expired()
             if refusal is not None:
                 queued_call.on_refuse(queued_call, refusal)
-            else:
-                self._start(queued_call)
+                continue
+            self._rate_limit.take()
+            self._start(queued_call)
+
+    def _wake_up_in(self, delay_s: float) -> None:
+        if self._wake_up is None:
+            self._wake_up = self._timers.after(delay_s, self._on_wake_up)
+
+    def _on_wake_up(self) -> None:
+        self._wake_up = None
+        self._start_queued()
 
 
 def _equal_weight(client_account: str) -> float:
@@ -302,16 +371,16 @@
     """Dependencies of a call queue.
 
     Attributes:
-        clock: The clock.
+        timers: Clock and timers.
         random_fraction: Returns a random number from 0 to 1, for jitter.
         estimator: The capacity estimator, told of arrivals and refusals.
     """
 
-    clock: timers.Clock
+    timers: timers.TimerService
     random_fraction: collections.abc.Callable[[], float]
     estimator: admission.CapacityEstimator
 
 
 def create_call_queue(parts: Parts) -> CallQueue:
     """Returns an empty queue with a limit of 0."""
-    return CallQueue(parts.clock, parts.random_fraction, parts.estimator)
+    return CallQueue(parts.timers, parts.random_fraction, parts.estimator)
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -235,7 +235,7 @@
             if dispatch.finished:
                 return
             dispatch.finished = True
-            callback(self._outcome(call, instance, sent_s, result))
+            callback(self._outcome(call, sent_s, result))
 
         expected = upstream.PendingRequest(
             lambda headers: self._codec.accepts(call.request_id, headers),
@@ -249,7 +249,6 @@
     def _outcome(
         self,
         call: calls.Call,
-        instance: str,
         sent_s: float,
         result: upstream.Result,
     ) -> outcomes.Outcome:
@@ -263,9 +262,7 @@
                 outcome = self._codec.decode(call.request_id, result)
                 if not _is_of_another(outcome):
                     named = self._codec.conditions(result.headers)
-                    self._on_answer(
-                        serverterms.Answered(instance, sent_s, named)
-                    )
+                    self._on_answer(serverterms.Answered(sent_s, named))
                 return outcome
             case upstream.NoResponse(garbled=True):
                 return outcomes.Lost(outcomes.GARBLED)
--- a/src/savorybend/relay/serverterms.py
+++ b/src/savorybend/relay/serverterms.py
@@ -5,6 +5,7 @@
 condition if its request was sent after the condition was read.
 """
 
+import collections.abc
 import math
 import typing
 
@@ -24,26 +25,39 @@
     """A response of the backend server.
 
     Attributes:
-        instance: ID of the backend server that the request named.
         sent_s: When the request was sent, in seconds.
         conditions: What the response says of the backend server.
     """
 
-    instance: str
     sent_s: float
     conditions: conditions.Conditions
 
 
+class Parts(typing.NamedTuple):
+    """Dependencies of `ServerTerms`.
+
+    Attributes:
+        server: State of the backend server.
+        clock: The clock.
+        set_rate: Called with the requests per second that may be sent to it;
+            infinite for any number.
+    """
+
+    server: backend.BackendServer
+    clock: timers.Clock
+    set_rate: collections.abc.Callable[[float], None]
+
+
 class ServerTerms:
     """Tracks the limit of the backend server, and whether it leaves."""
 
-    def __init__(self, server: backend.BackendServer, clock: timers.Clock):
-        self._server = server
-        self._clock = clock
-        self._instance = ""
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._identity: tuple[str, int] | None = None
         self._limit: conditions.Limit = conditions.Unlimited()
         self._named_s = -math.inf
         self._leaving = False
+        self._since_s = -math.inf
         self._last_invalid_log_s = -math.inf
 
     @property
@@ -58,7 +72,7 @@
 
     def note_answer(self, answered: Answered) -> None:
         """Applies the conditions of a response."""
-        if answered.instance != self._instance:
+        if answered.sent_s < self._since_s:
             return
         self._note_limit(answered)
         if answered.conditions.leaving and not self._leaving:
@@ -67,15 +81,19 @@
 
     def on_server_change(self) -> None:
         """Forgets the conditions of an earlier backend server."""
-        current = self._server.current
-        instance = current.instance if current else ""
-        if instance == self._instance:
+        identity = self._parts.server.identity
+        if identity == self._identity:
             return
-        self._instance = instance
-        self._limit = conditions.Unlimited()
+        self._identity = identity
+        self._since_s = self._parts.clock.now_s()
+        self._set_limit(conditions.Unlimited())
         self._named_s = -math.inf
         self._leaving = False
 
+    @property
+    def _instance(self) -> str:
+        return self._identity[0] if self._identity else ""
+
     def _note_limit(self, answered: Answered) -> None:
         limit = answered.conditions.limit
         if isinstance(limit, conditions.Invalid):
@@ -85,18 +103,28 @@
         if stricter != limit and answered.sent_s <= self._named_s:
             return
         if isinstance(limit, conditions.Limited):
-            self._named_s = self._clock.now_s()
+            self._named_s = self._parts.clock.now_s()
         if limit == self._limit:
             return
-        self._limit = limit
+        self._set_limit(limit)
         _log.info(
             "backend_server_limit_changed",
             instance=self._instance,
             rate_per_s=getattr(limit, "rate_per_s", "unlimited"),
         )
 
+    def _set_limit(
+        self, limit: conditions.Limited | conditions.Unlimited
+    ) -> None:
+        self._limit = limit
+        match limit:
+            case conditions.Limited(rate_per_s=rate_per_s):
+                self._parts.set_rate(rate_per_s)
+            case conditions.Unlimited():
+                self._parts.set_rate(math.inf)
+
     def _log_invalid(self, limit: conditions.Invalid) -> None:
-        now_s = self._clock.now_s()
+        now_s = self._parts.clock.now_s()
         if now_s - self._last_invalid_log_s < _INVALID_LOG_INTERVAL_S:
             return
         self._last_invalid_log_s = now_s
@@ -107,8 +135,6 @@
         )
 
 
-def create_server_terms(
-    server: backend.BackendServer, clock: timers.Clock
-) -> ServerTerms:
+def create_server_terms(parts: Parts) -> ServerTerms:
     """Returns the conditions of a backend server that has named none."""
-    return ServerTerms(server, clock)
+    return ServerTerms(parts)
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -1,5 +1,7 @@
 """Factories of calls, routes and daemon statements for tests."""
 
+from savorybend.internal import timers
+from savorybend.relay import callqueue
 from savorybend.relay import calls
 from savorybend.relay import frames
 
@@ -58,3 +60,15 @@
         "slots": 10,
     }
     return frames.Statement(**{**fields, **changes})
+
+
+def timer_service(clock):
+    """Returns a timer service that runs with a manual clock."""
+    return timers.create_manual_timer_service(clock)
+
+
+def call_queue(clock, estimator, random_fraction=lambda: 0.5):
+    """Returns an empty call queue."""
+    return callqueue.create_call_queue(
+        callqueue.Parts(timer_service(clock), random_fraction, estimator)
+    )
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -33,8 +33,8 @@
         self.clock = fakes.create_clock()
         self.rng = random.Random(seed)
         self.estimator = admission.create_capacity_estimator(self.clock)
-        self.call_queue = callqueue.create_call_queue(
-            callqueue.Parts(self.clock, self.rng.random, self.estimator)
+        self.call_queue = samples.call_queue(
+            self.clock, self.estimator, self.rng.random
         )
         self.call_queue.set_limit(_SLOTS)
         self.admission = admission.create_admission(self.clock, self._share)
--- a/tests/relay/test_callqueue.py
+++ b/tests/relay/test_callqueue.py
@@ -13,9 +13,7 @@
     def __init__(self, limit):
         self.clock = fakes.create_clock()
         estimator = admission.create_capacity_estimator(self.clock)
-        self.call_queue = callqueue.create_call_queue(
-            callqueue.Parts(self.clock, lambda: 0.5, estimator)
-        )
+        self.call_queue = samples.call_queue(self.clock, estimator)
         self.call_queue.set_limit(limit)
         self.entered = []
         self.refused = []
--- a/tests/relay/test_loadbalancer.py
+++ b/tests/relay/test_loadbalancer.py
@@ -133,12 +133,8 @@
     # Guards against a new call queue that reports its initial mean time: if
     # that is longer than the means of the other daemons, it never gets a call.
     harness = _Harness([samples.statement("new"), samples.statement("old")])
-    joined = callqueue.create_call_queue(
-        callqueue.Parts(
-            harness.clock,
-            lambda: 0.5,
-            admission.create_capacity_estimator(harness.clock),
-        )
+    joined = samples.call_queue(
+        harness.clock, admission.create_capacity_estimator(harness.clock)
     )
     joined.set_limit(10)
     harness.balancer.update_load("new", joined.load)
@@ -149,9 +145,7 @@
 def test_one_that_was_slow_while_cold_is_tried_again_when_it_had_no_calls():
     harness = _Harness([samples.statement("cold"), samples.statement("old")])
     estimator = admission.create_capacity_estimator(harness.clock)
-    cold = callqueue.create_call_queue(
-        callqueue.Parts(harness.clock, lambda: 0.5, estimator)
-    )
+    cold = samples.call_queue(harness.clock, estimator)
     cold.set_limit(10)
     for _ in range(5):
         waiting = callqueue.QueuedCall(samples.call(), lambda one: None, None)
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -2,7 +2,6 @@
 
 from savorybend.relay import admission
 from savorybend.relay import backend
-from savorybend.relay import callqueue
 from savorybend.relay import outcomes
 from savorybend.relay import serving
 from tests import fakes
@@ -64,9 +63,7 @@
             serving.Parts(
                 server=server,
                 pool=self.pool,
-                call_queue=callqueue.create_call_queue(
-                    callqueue.Parts(clock, lambda: 0.5, estimator)
-                ),
+                call_queue=samples.call_queue(clock, estimator),
                 suspects=self.suspects,
                 watchdog=self.watchdog,
                 clock=clock,
--- a/tests/relay/test_unequal_servers.py
+++ b/tests/relay/test_unequal_servers.py
@@ -37,8 +37,8 @@
         self.name = f"vm-{number}"
         self.mean_s = _MEANS_S[number]
         self.estimator = admission.create_capacity_estimator(site.clock)
-        self.queue = callqueue.create_call_queue(
-            callqueue.Parts(site.clock, site.rng.random, self.estimator)
+        self.queue = samples.call_queue(
+            site.clock, self.estimator, site.rng.random
         )
         self.queue.set_limit(_SLOTS)
         self.statement = samples.statement(
