Let other servers take what a limited server has no room for

Callers saw 503 though other servers of the service had room: 6 of 960 with all calls through one daemon, 14 of 640 with five of six servers limited, and 2 of 200 calls 3 s after a limit had ended (real daemons). Cause: choosing and admission knew capacity as slots. A daemon found out about a limit only by being refused, three times at most; the refusals lowered the share of the service that the ingress admits, as a mean over all its servers; and that share outlived the limit. Change: a load report says what its server has named, and its concurrency is that of the limit (rate times mean time). The share to admit comes from servers without a limit while there are any; if all have one, it is 1 while any has room, else their shares weighed by their limits. A call that met a limit goes to servers without one next, and may be sent to more daemons while such are left. A limit that ends or grows raises the share at once.

--- a/src/savorybend/relay/admission.py
+++ b/src/savorybend/relay/admission.py
@@ -104,7 +104,16 @@
         return self._share
 
     def set_rate(self, rate_per_s: float) -> None:
-        """Sets how many calls may start per second; infinite for any."""
+        """Sets how many calls may start per second.
+
+        Args:
+            rate_per_s: The rate, above 0; infinite for any number.
+        """
+        if rate_per_s > self._rate_per_s:
+            # What was learned under the old limit would refuse calls that the
+            # new one has room for.
+            grown = self._share * rate_per_s / self._rate_per_s
+            self._share = min(FULL_SHARE, grown)
         self._rate_per_s = rate_per_s
 
     def note_arrival(self) -> None:
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -146,6 +146,7 @@
         self._server_terms = serverterms.create_server_terms(
             serverterms.Parts(self._server, clock, self._call_queue.set_rate)
         )
+        self._own_statement.set_terms(lambda: self._server_terms.terms)
         self._pool = pool.Pool(
             loaded_settings.backend_server_address,
             adapter.backend,
--- a/src/savorybend/relay/callqueue.py
+++ b/src/savorybend/relay/callqueue.py
@@ -175,7 +175,7 @@
     def set_rate(self, rate_per_s: float) -> None:
         """Sets how many calls may start per second; infinite for any number."""
         self._rate_limit.set_rate(rate_per_s)
-        self._estimator.set_rate(rate_per_s)
+        self._estimator.set_rate(self._rate_limit.rate_per_s)
         for waiter in self._queue.waiters:
             queued_call = waiter.token
             queued_call.until_s = self._until_s(queued_call.call)
--- a/src/savorybend/relay/forwarding.py
+++ b/src/savorybend/relay/forwarding.py
@@ -29,6 +29,9 @@
 # Daemons that one call is sent to before it is refused. Daemons become
 # overloaded together, so trying more costs more than it gains.
 _MAX_DAEMONS_TRIED = 3
+# The same while only limits of backend servers refused it and daemons are left
+# that are not known to have one.
+_MAX_LIMITED_TRIED = 12
 # Largest Retry-After, as a fraction of the time left until the deadline.
 MAX_RETRY_AFTER_FRACTION = 0.3
 _MIN_RETRY_AFTER_S = 0.05
@@ -213,6 +216,8 @@
         match outcome:
             case outcomes.NotRun(elsewhere=False):
                 return False
+            case outcomes.NotRun(reason=outcomes.SERVER_LIMIT):
+                return self._may_try_unlimited()
             case outcomes.NotRun(arrived=False):
                 return len(self._tried) < _MAX_DAEMONS_TRIED
             case outcomes.NotRun():
@@ -223,6 +228,13 @@
                 return self._may_retry()
         return False
 
+    def _may_try_unlimited(self) -> bool:
+        if len(self._tried) < _MAX_DAEMONS_TRIED:
+            return True
+        if len(self._tried) >= _MAX_LIMITED_TRIED:
+            return False
+        return self._parts.load_balancer.has_unlimited(self._call, self._tried)
+
     def _may_retry(self) -> bool:
         if self._arrival_count >= self._route.max_attempts:
             return False
--- a/src/savorybend/relay/loadbalancer.py
+++ b/src/savorybend/relay/loadbalancer.py
@@ -42,6 +42,13 @@
 # How often a daemon above `_MAX_FAILURE_RATE` is tried again.
 _FAILING_RETRY_INTERVAL_S = 1.0
 _LOAD_TTL_S = 1.0
+# How long a daemon that refused a call counts as full.
+_MIN_FULL_S = 0.02
+_MAX_FULL_S = 0.3
+# The same where the backend server's limit was used up. Its daemon tells when
+# the next call fits, which doesn't change as other calls end.
+_MAX_RATE_LIMITED_S = 1.0
+_MIN_RATE_PER_S = 0.01
 
 
 class _DaemonState:
@@ -135,8 +142,7 @@
         if _is_failure(outcome):
             state.failure_rate += 1 - _FAILURE_RATE_DECAY
         if isinstance(outcome, outcomes.NotRun):
-            pause_s = max(0.02, min(0.3, outcome.retry_after_s))
-            state.full_until_s = self._clock.now_s() + pause_s
+            state.full_until_s = self._clock.now_s() + _full_s(outcome)
 
     def record_latency(self, daemon: str, route: str, took_s: float) -> None:
         """Records the time that a daemon took for a call, in seconds."""
@@ -156,7 +162,9 @@
 
         This is the mean over the service's daemons: the maximum would admit
         calls that the other daemons have no capacity for. Daemons whose last
-        report is older than `_LOAD_TTL_S` are left out.
+        report is older than `_LOAD_TTL_S` are left out, and so are those whose
+        backend servers name a limit while others name none: the others take
+        what they refuse.
         """
         now_s = self._clock.now_s()
         own = self._own()
@@ -194,7 +202,7 @@
             for candidate in candidates
             if self._eligible(candidate, now_s)
         ]
-        pool = eligible or candidates
+        pool = self._without_limit(eligible or candidates, tried)
         near = [
             candidate
             for candidate in pool
@@ -217,6 +225,42 @@
             ),
         )
 
+    def has_unlimited(
+        self, call: calls.Call, tried: collections.abc.Collection[str]
+    ) -> bool:
+        """Returns whether a daemon without a rate limit has room for a call.
+
+        Args:
+            call: The call.
+            tried: Names of daemons that it was already sent to.
+        """
+        now_s = self._clock.now_s()
+        return any(
+            self._eligible(candidate, now_s)
+            for candidate in self._candidates(call)
+            if candidate.daemon not in tried
+            and not self._rate_limited(candidate.daemon)
+        )
+
+    def _without_limit(
+        self,
+        pool: list[Candidate],
+        tried: collections.abc.Collection[str],
+    ) -> list[Candidate]:
+        """Leaves out rate-limited servers if one was tried and others remain.
+
+        A call may be sent to a few daemons only, and the limits of one
+        service's servers are often used up together.
+        """
+        if not any(self._rate_limited(daemon) for daemon in tried):
+            return pool
+        others = [one for one in pool if not self._rate_limited(one.daemon)]
+        return others or pool
+
+    def _rate_limited(self, daemon: str) -> bool:
+        load = self._state(daemon).load
+        return load is not None and load.rate_limited
+
     def _candidates(self, call: calls.Call) -> list[Candidate]:
         own = self._own()
         found = []
@@ -241,8 +285,10 @@
         return now_s - state.last_dispatch_s > _FAILING_RETRY_INTERVAL_S
 
     def _has_capacity(self, candidate: Candidate) -> bool:
+        load = self._load(candidate)
+        slots = load.limit if load and load.rate_limited else candidate.slots
         return self._outstanding_calls(candidate) < _MAX_UTILIZATION * max(
-            1, candidate.slots
+            1, slots
         )
 
     def _outstanding_calls(self, candidate: Candidate) -> int:
@@ -309,9 +355,10 @@
 def _mean_share(
     service: str, route: str, loads: list[outcomes.Load]
 ) -> outcomes.Share:
+    loads = [load for load in loads if not load.rate_limited] or loads
     if not loads:
         return outcomes.Share(admission.FULL_SHARE, service)
-    own = sum(load.part for load in loads) / len(loads)
+    own = _mean_part(loads)
     callees = [load.shares[route] for load in loads if route in load.shares]
     if callees:
         total = sum(share.part for share in callees)
@@ -322,6 +369,25 @@
     return outcomes.Share(own, service)
 
 
+def _mean_part(loads: list[outcomes.Load]) -> float:
+    if not all(load.rate_limited for load in loads):
+        return sum(load.part for load in loads) / len(loads)
+    if any(load.part >= admission.FULL_SHARE for load in loads):
+        # It has room for what the others refuse.
+        return admission.FULL_SHARE
+    # The limits of one service's servers may be far apart, or all 0.
+    rates = [max(_MIN_RATE_PER_S, load.terms.rate_per_s) for load in loads]
+    parts = zip(loads, rates, strict=True)
+    return sum(load.part * rate for load, rate in parts) / sum(rates)
+
+
+def _full_s(refusal: outcomes.NotRun) -> float:
+    longest_s = _MAX_FULL_S
+    if refusal.reason == outcomes.SERVER_LIMIT:
+        longest_s = _MAX_RATE_LIMITED_S
+    return max(_MIN_FULL_S, min(longest_s, refusal.retry_after_s))
+
+
 def _is_failure(outcome: outcomes.Outcome) -> bool:
     match outcome:
         case outcomes.Lost():
--- a/src/savorybend/relay/outcomes.py
+++ b/src/savorybend/relay/outcomes.py
@@ -38,17 +38,36 @@
     service: str
 
 
+class Terms(msgspec.Struct, array_like=True, frozen=True):
+    """What a backend server has said of itself in its responses.
+
+    Attributes:
+        instance: ID of the backend server.
+        born_ms: When it started, Unix time in milliseconds.
+        rate_per_s: Requests per second that it takes from all daemons; None
+            for any number.
+        leaving: Whether it is about to shut down.
+    """
+
+    instance: str
+    born_ms: int
+    rate_per_s: float | None = None
+    leaving: bool = False
+
+
 class Load(msgspec.Struct, array_like=True, frozen=True):
     """Load of a backend server, measured by its own daemon.
 
     Attributes:
         running: Number of running calls.
         waiting: Number of queued calls.
-        limit: Largest number of running calls; 0 while it accepts none.
+        limit: Number of running calls when it is fully used; 0 while it
+            accepts none.
         mean_s: Mean time of a call, in seconds, or `NOT_MEASURED_S`.
         part: Share of the offered load that it can handle; see `admission`.
         shares: By route, the smallest share of the services that requests on
             the route call.
+        terms: What it has said of itself; None if nothing is in force.
     """
 
     running: int
@@ -57,6 +76,12 @@
     mean_s: float
     part: float
     shares: dict[str, Share]
+    terms: Terms | None = None
+
+    @property
+    def rate_limited(self) -> bool:
+        """Whether the backend server has named a limit."""
+        return self.terms is not None and self.terms.rate_per_s is not None
 
 
 class Ran(msgspec.Struct, array_like=True, tag=1):
--- a/src/savorybend/relay/ownstatement.py
+++ b/src/savorybend/relay/ownstatement.py
@@ -37,6 +37,8 @@
         self._serial = 0
         self._draining = False
         self._feed: collections.abc.Callable[[], frames.Feed] | None = None
+        self._terms: collections.abc.Callable[[], outcomes.Terms | None]
+        self._terms = _no_terms
         self._statement = self._build()
 
     @property
@@ -59,14 +61,21 @@
         """Load of the backend server and of the services that it calls."""
         load = self._call_queue.load
         shares = self._callees.shares
-        if not shares:
+        terms = self._terms()
+        if not shares and terms is None:
             return load
-        return msgspec.structs.replace(load, shares=shares)
+        return msgspec.structs.replace(load, shares=shares, terms=terms)
 
     def set_feed(self, feed: collections.abc.Callable[[], frames.Feed]) -> None:
         """Sets the function that returns `feed`."""
         self._feed = feed
 
+    def set_terms(
+        self, terms: collections.abc.Callable[[], outcomes.Terms | None]
+    ) -> None:
+        """Sets the function that returns what the backend server has said."""
+        self._terms = terms
+
     def change(self) -> None:
         """Rebuilds the statement after a change, with the next serial."""
         self._serial += 1
@@ -108,6 +117,10 @@
         )
 
 
+def _no_terms() -> None:
+    """Stands for a backend server that has said nothing."""
+
+
 def create_own_statement(
     loaded_settings: settings.Settings,
     server: backend.BackendServer,
--- a/src/savorybend/relay/serverterms.py
+++ b/src/savorybend/relay/serverterms.py
@@ -14,6 +14,7 @@
 from savorybend.internal import timers
 from savorybend.relay import backend
 from savorybend.relay import conditions
+from savorybend.relay import outcomes
 
 # Invalid limits are logged at most this often.
 _INVALID_LOG_INTERVAL_S = 10.0
@@ -70,6 +71,20 @@
         """Whether the backend server has said that it leaves."""
         return self._leaving
 
+    @property
+    def terms(self) -> outcomes.Terms | None:
+        """The conditions in force, for other daemons; None without any."""
+        if self._identity is None:
+            return None
+        match self._limit:
+            case conditions.Limited(rate_per_s=rate_per_s):
+                return outcomes.Terms(
+                    *self._identity, rate_per_s, self._leaving
+                )
+        if self._leaving:
+            return outcomes.Terms(*self._identity, leaving=True)
+        return None
+
     def note_answer(self, answered: Answered) -> None:
         """Applies the conditions of a response."""
         if answered.sent_s < self._since_s:
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -74,6 +74,16 @@
     _assert_all_served(calls, named_s)
 
 
+async def test_five_of_six_name_a_limit_and_callers_do_not_notice(fleet):
+    calls = callers.Callers(fleet)
+    limited = fleet.machines[:5]
+    named_s = _name_limit(limited, 4)
+    await calls.run(_NAMED_FOR_S, 80)
+    await calls.finish()
+    _assert_within_limit(calls, limited, named_s, 4)
+    _assert_all_served(calls, named_s)
+
+
 async def test_a_slow_server_names_a_limit_and_callers_do_not_notice(fleet):
     calls = callers.Callers(fleet)
     limited = fleet.machines[:1]
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -3,6 +3,7 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 
 import pytest
@@ -205,3 +206,20 @@
     assert admission.class_of(0, 2) < admission.class_of(1, 0)
     assert admission.class_of(None, 1) == admission.class_of(1, 1)
     assert admission.class_of_child(8) < admission.class_of(0, 0)
+
+
+def test_a_limit_that_ends_leaves_no_refusals_behind():
+    clock = fakes.create_clock()
+    estimator = admission.create_capacity_estimator(clock)
+    estimator.note_running(1, 10)
+    estimator.set_rate(4.0)
+    for _ in range(20):
+        for _ in range(10):
+            estimator.note_arrival()
+            estimator.note_shed()
+        estimator.note_started(0.0)
+        clock.advance(0.25)
+        estimator.note_running(1, 10)
+    assert estimator.share < 0.1
+    estimator.set_rate(math.inf)
+    assert estimator.share == admission.FULL_SHARE
--- a/tests/relay/test_loadbalancer.py
+++ b/tests/relay/test_loadbalancer.py
@@ -1,8 +1,11 @@
 """Tests of the choice of a daemon by load, failures and distance."""
 
 import collections
+import math
 import random
 
+import msgspec
+
 from savorybend.relay import admission
 from savorybend.relay import callqueue
 from savorybend.relay import directory
@@ -51,6 +54,13 @@
     return outcomes.Load(running, waiting, limit, mean_s, part, {})
 
 
+def _limited_load(running, rate_per_s, limit=1, **more):
+    return msgspec.structs.replace(
+        _load(running, limit, **more),
+        terms=outcomes.Terms("i-1", 1, rate_per_s),
+    )
+
+
 def _near_and_far():
     return [
         samples.statement("near"),
@@ -192,3 +202,55 @@
     harness = _slow_near_and_quick_far()
     harness.balancer.update_load("far", _load(2, mean_s=0.08))
     assert harness.counts(20, target_latency_s=0.2) == {"near": 20}
+
+
+def test_a_server_at_its_limit_has_no_room_though_slots_are_free():
+    harness = _Harness(_near_and_far())
+    harness.balancer.update_load("near", _limited_load(1, 6.0))
+    harness.balancer.update_load("far", _load(0))
+    assert harness.counts(20) == {"far": 20}
+
+
+def test_a_daemon_whose_limit_is_used_up_is_left_alone_until_a_call_fits():
+    harness = _Harness([samples.statement("a"), samples.statement("b")])
+    harness.balancer.update_load("a", _limited_load(0, 2.0, mean_s=0.01))
+    harness.balancer.update_load("b", _load(0, mean_s=0.2))
+    refusal = outcomes.NotRun(outcomes.SERVER_LIMIT, retry_after_s=0.6)
+    harness.balancer.record_outcome("a", refusal)
+    harness.clock.advance(0.5)
+    assert harness.counts(20) == {"b": 20}
+    harness.clock.advance(0.2)
+    assert harness.choose() == "a"
+
+
+def test_a_limited_server_refuses_no_calls_that_others_have_room_for():
+    harness = _Harness([samples.statement("a"), samples.statement("b")])
+    harness.balancer.update_load("a", _limited_load(1, 6.0, part=0.1))
+    harness.balancer.update_load("b", _load(3, part=1.0))
+    assert harness.balancer.share(samples.SERVICE, "stock").part == 1.0
+    harness.balancer.update_load("b", _limited_load(3, 90.0, part=1.0))
+    assert harness.balancer.share(samples.SERVICE, "stock").part == 1.0
+
+
+def test_limits_weigh_by_their_rates_where_all_servers_have_one():
+    harness = _Harness([samples.statement("a"), samples.statement("b")])
+    harness.balancer.update_load("a", _limited_load(1, 10.0, part=0.1))
+    harness.balancer.update_load("b", _limited_load(1, 30.0, part=0.5))
+    share = harness.balancer.share(samples.SERVICE, "stock")
+    assert math.isclose(share.part, 0.4)
+
+
+def test_servers_that_all_name_zero_still_get_a_call_now_and_then():
+    harness = _Harness([samples.statement("a")])
+    harness.balancer.update_load("a", _limited_load(0, 0.0, part=0.02))
+    assert harness.balancer.share(samples.SERVICE, "stock").part == 0.02
+
+
+def test_a_call_that_met_a_limit_goes_to_a_server_without_one():
+    harness = _Harness([samples.statement(name) for name in "abc"])
+    harness.balancer.update_load("a", _limited_load(0, 2.0, mean_s=0.01))
+    harness.balancer.update_load("b", _limited_load(0, 2.0, mean_s=0.01))
+    harness.balancer.update_load("c", _load(5, mean_s=0.2))
+    assert harness.choose(tried=["a"]) == "c"
+    assert harness.balancer.has_unlimited(samples.call(), ["a"])
+    assert not harness.balancer.has_unlimited(samples.call(), ["a", "c"])
