Take a backend server out of service when its answers say that it leaves

Callers' requests went on to a server that was about to end: 121 calls sent later than 2 s after their daemons had passed on an answer with Server-Leaving (real daemons, 100 a second). Cause: a departure was only known from announcements; a server that says it in its answers, and goes on announcing that it is ready, stayed in use. Change: the daemon beside it marks it as draining, as for an announced drain, so that the record and the other daemons hear of it, and takes no ready announcement of the same start as its return. Over a restart of the daemon it is still forgotten.

--- a/src/savorybend/relay/backend.py
+++ b/src/savorybend/relay/backend.py
@@ -91,6 +91,7 @@
         self._state = self._chart.initial
         self._current: Announcement | None = None
         self._restored: StoredState | None = None
+        self._departed: tuple[str, int] | None = None
         self._last_announced_s = clock.now_s()
 
     @property
@@ -159,6 +160,8 @@
         if self._is_outdated(announcement):
             self._log_rejection(announcement, "older than the known state")
             return AnnouncementResult(changed=False, valid=True)
+        if (announcement.instance, announcement.born_ms) == self._departed:
+            announcement = announcement._replace(draining=True)
         previous = (self._state, self.identity)
         slots = self._current.slots if self._current else 0
         self._current = announcement
@@ -197,6 +200,21 @@
         self._on_change()
         return AnnouncementResult(changed=True, valid=True)
 
+    def depart(self, identity: tuple[str, int], reason: str) -> None:
+        """Takes a backend server out of service until another one announces.
+
+        Args:
+            identity: Its `identity`; others are out of service already.
+            reason: How its departure became known, for the log.
+        """
+        self._departed = identity
+        if self.identity != identity:
+            return
+        if self._state in (directory.READY, directory.LOST):
+            self._apply_trigger("drain")
+            self._log_change(reason)
+            self._on_change()
+
     def lose(self, reason: str) -> None:
         """Marks a ready backend server as lost.
 
--- a/src/savorybend/relay/serverterms.py
+++ b/src/savorybend/relay/serverterms.py
@@ -92,7 +92,7 @@
         self._note_limit(answered)
         if answered.conditions.leaving and not self._leaving:
             self._leaving = True
-            _log.info("backend_server_leaving", instance=self._instance)
+            self._parts.server.depart(self._identity, "said so in an answer")
 
     def on_server_change(self) -> None:
         """Forgets the conditions of an earlier backend server."""
--- a/tests/relay/test_serverterms.py
+++ b/tests/relay/test_serverterms.py
@@ -7,6 +7,7 @@
 from savorybend.platform import headers
 from savorybend.relay import backend
 from savorybend.relay import conditions
+from savorybend.relay import directory
 from savorybend.relay import serverterms
 from tests import fakes
 
@@ -111,3 +112,13 @@
         [(b"server-limit", value) for value in values]
     )
     assert found == conditions.Conditions(expected, False)
+
+
+def test_a_server_that_says_it_leaves_is_not_ready_again():
+    harness = _Harness()
+    harness.answer(conditions.Unlimited(), leaving=True)
+    assert harness.server.state == directory.DRAINING
+    harness.announce("i-1", 1)
+    assert harness.server.state == directory.DRAINING
+    harness.announce("i-1", 2)
+    assert harness.server.state == directory.READY
