Tell a daemon that restarts what others know of its backend server

Cause: what a server says in its answers was kept by one process, the daemon beside it, in memory. The daemons that had passed the answers on, which the rule binds, kept nothing; the restarted one believed its record, or an announcement that said ready, until the next answer. Change: statements name the start of a server (its ID and birth) and whether it has departed; each daemon keeps the newest departure of every daemon it knows, over statements and records that contradict it, and the last terms reported. Both go to the daemon concerned in Hello, the first message of a connection, so before any call. It applies a told limit until the server itself answers, and a told departure for good: only an announcement of a newer start brings a server back, whatever said that it leaves. Why it works: whoever is bound by an answer has passed it on, has it in the load report of that same answer, and tells it before its next call.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -261,6 +261,7 @@
                 suspects=self._suspects,
                 feed=self._feed,
                 watchers=self._watchers,
+                server_terms=self._server_terms,
                 on_follower=lambda: self._store_watch.note_follower(),
             )
         )
--- a/src/savorybend/relay/backend.py
+++ b/src/savorybend/relay/backend.py
@@ -109,6 +109,11 @@
         """Whether it accepts calls."""
         return self._state == directory.READY
 
+    @property
+    def departed(self) -> bool:
+        """Whether the current one has said that it leaves or is gone."""
+        return self._departed is not None and self._departed == self.identity
+
     @property
     def overdue(self) -> bool:
         """Whether no announcement has arrived for too many intervals."""
@@ -131,6 +136,8 @@
         """
         if self._current is not None or not stored.instance:
             return
+        if (stored.instance, stored.born_ms) == self._departed:
+            stored = stored._replace(state=directory.DRAINING)
         self._restored = stored
         if stored.state not in (directory.READY, directory.LOST):
             return
@@ -160,7 +167,12 @@
         if self._is_outdated(announcement):
             self._log_rejection(announcement, "older than the known state")
             return AnnouncementResult(changed=False, valid=True)
-        if (announcement.instance, announcement.born_ms) == self._departed:
+        identity = (announcement.instance, announcement.born_ms)
+        if announcement.draining:
+            self._note_departure(identity)
+        elif identity == self._departed:
+            # It isn't coming back: a late announcement, or it leaves without
+            # saying so in its announcements.
             announcement = announcement._replace(draining=True)
         previous = (self._state, self.identity)
         slots = self._current.slots if self._current else 0
@@ -187,6 +199,8 @@
         """
         current = self._current
         if current is None or current.instance != instance:
+            if born_ms:
+                self._note_departure((instance, born_ms))
             stored = self._restored
             if stored is not None and stored.instance == instance:
                 self._restored = stored._replace(state=directory.ABSENT)
@@ -195,6 +209,7 @@
             return AnnouncementResult(changed=False, valid=True)
         if self._state == directory.ABSENT:
             return AnnouncementResult(changed=False, valid=True)
+        self._note_departure(self.identity)
         self._apply_trigger("withdraw")
         self._log_change()
         self._on_change()
@@ -207,7 +222,7 @@
             identity: Its `identity`; others are out of service already.
             reason: How its departure became known, for the log.
         """
-        self._departed = identity
+        self._note_departure(identity)
         if self.identity != identity:
             return
         if self._state in (directory.READY, directory.LOST):
@@ -232,6 +247,11 @@
             self._log_change("reachable again")
             self._on_change()
 
+    def _note_departure(self, identity: tuple[str, int]) -> None:
+        _, born_ms = identity
+        if self._departed is None or born_ms >= self._departed[1]:
+            self._departed = identity
+
     def _is_outdated(self, announcement: Announcement) -> bool:
         current = self._current
         if current is None:
--- a/src/savorybend/relay/directory.py
+++ b/src/savorybend/relay/directory.py
@@ -1,7 +1,9 @@
 """The newest known statement of each other daemon, from any source."""
 
 import collections.abc
+import typing
 
+import msgspec
 import structlog
 
 from savorybend.relay import frames
@@ -18,6 +20,19 @@
 
 _log = structlog.get_logger()
 
+
+class Departure(typing.NamedTuple):
+    """A backend server that has left, the newest known one of its daemon.
+
+    Attributes:
+        born_ms: When it started, Unix time in milliseconds.
+        instance: Its ID.
+    """
+
+    born_ms: int
+    instance: str
+
+
 Listener = collections.abc.Callable[[frames.Statement], None]
 
 
@@ -33,6 +48,7 @@
         self._indexed_changes = 0
         self._listed = False
         self._removed: dict[str, tuple[int, int]] = {}
+        self._departures: dict[str, Departure] = {}
         self._listeners: list[Listener] = []
 
     @property
@@ -86,7 +102,10 @@
             return False
         if statement.order <= self._removed.get(name, (0, 0)):
             return False
-        self._statements[name] = statement
+        if statement.departed:
+            departure = Departure(statement.born_ms, statement.instance)
+            self.note_departure(name, departure)
+        self._statements[name] = self._correct(statement)
         self._changes += 1
         _log.info(
             "daemon_learned",
@@ -102,6 +121,36 @@
             listener(statement)
         return True
 
+    def departure(self, daemon: str) -> Departure | None:
+        """Returns the newest known departure at a daemon, if there was any."""
+        return self._departures.get(daemon)
+
+    def note_departure(self, daemon: str, departure: Departure) -> None:
+        """Notes that a backend server has left, whatever its daemon states.
+
+        The daemon may have restarted and not know it.
+        """
+        known = self._departures.get(daemon)
+        if known is not None and (
+            known == departure or known.born_ms > departure.born_ms
+        ):
+            return
+        self._departures[daemon] = departure
+        statement = self._statements.get(daemon)
+        if statement is not None:
+            self._statements[daemon] = self._correct(statement)
+            self._changes += 1
+
+    def _correct(self, statement: frames.Statement) -> frames.Statement:
+        """Returns a statement in which no departed backend server is ready."""
+        departure = self._departures.get(statement.daemon)
+        if departure is None or statement.state != READY:
+            return statement
+        stated = Departure(statement.born_ms, statement.instance)
+        if stated == departure or stated.born_ms < departure.born_ms:
+            return msgspec.structs.replace(statement, state=DRAINING)
+        return statement
+
     def note_listed(self) -> None:
         """Notes that the store's listing of daemons has arrived."""
         self._listed = True
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -20,6 +20,7 @@
 from savorybend.relay import outcomes
 from savorybend.relay import peerserver
 from savorybend.relay import recordfeed
+from savorybend.relay import serverterms
 from savorybend.relay import serving
 from savorybend.relay import suspects
 from savorybend.relay import traffic
@@ -58,6 +59,7 @@
         suspects: Receives reports of requests that crash backend servers.
         feed: Receives and sends records.
         watchers: Receives what daemons say of their watches.
+        server_terms: Receives what others know of the backend server.
         on_follower: Called when a daemon requests records.
     """
 
@@ -67,6 +69,7 @@
     suspects: suspects.Suspects
     feed: recordfeed.RecordFeed
     watchers: watchers.Watchers
+    server_terms: serverterms.ServerTerms
     on_follower: collections.abc.Callable[[], None]
 
 
@@ -237,6 +240,28 @@
     def on_load(self, daemon: str, load: outcomes.Load) -> None:
         """Passes on the load of a peer's backend server."""
         self._consumers.load_balancer.update_load(daemon, load)
+        if load.terms is not None and load.terms.leaving:
+            self._parts.directory.note_departure(
+                daemon,
+                directory.Departure(load.terms.born_ms, load.terms.instance),
+            )
+
+    def terms_of(self, daemon: str) -> outcomes.Terms | None:
+        """Returns what a daemon should know of its own backend server."""
+        terms = self._consumers.load_balancer.terms(daemon)
+        departure = self._parts.directory.departure(daemon)
+        if departure is None:
+            return terms
+        if terms is not None and terms.born_ms > departure.born_ms:
+            return terms
+        return outcomes.Terms(
+            departure.instance, departure.born_ms, leaving=True
+        )
+
+    def on_terms(self, terms: outcomes.Terms | None, source: str) -> None:
+        """Applies what a peer knows of this daemon's backend server."""
+        if terms is not None:
+            self._consumers.server_terms.note_told(terms, source)
 
     def on_control_message(
         self,
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -29,6 +29,9 @@
         state: A state of the state chart `announcement`.
         instance: The backend server's ID; empty if there is none.
         slots: Requests that the backend server executes concurrently.
+        born_ms: When the backend server started, Unix time in milliseconds; 0
+            if it isn't stated.
+        departed: Whether the backend server has said that it leaves or is gone.
     """
 
     daemon: str
@@ -41,6 +44,8 @@
     state: str
     instance: str
     slots: int
+    born_ms: int = 0
+    departed: bool = False
 
     @property
     def order(self) -> tuple[int, int]:
@@ -81,11 +86,14 @@
         version: Version of the sender's configuration; 0 for none.
         feed: The sender's copy of the records; None from a daemon of a version
             that keeps none, which can't read `Follow` either.
+        terms: What the sender knows of the receiver's backend server; None if
+            it knows of nothing that binds it.
     """
 
     statement: Statement
     version: int
     feed: Feed | None = None
+    terms: outcomes.Terms | None = None
 
 
 class Run(msgspec.Struct, array_like=True, tag=11):
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -71,6 +71,12 @@
     ) -> None:
         """Sends what a peer may have missed; before any call."""
 
+    def terms_of(self, daemon: str) -> outcomes.Terms | None:
+        """Returns what is known of a daemon's backend server."""
+
+    def on_terms(self, terms: outcomes.Terms | None, source: str) -> None:
+        """Handles what a peer knows of this daemon's backend server."""
+
     def on_feed(self, link: "Link", feed: frames.Feed | None) -> None:
         """Handles what a peer says of its copy of the records."""
 
@@ -313,7 +319,8 @@
         self._received = 0
         own = self._parts.own
         stream.remote = self.remote
-        stream.send(frames.Hello(own.statement, own.version, own.feed))
+        known = self._parts.events.terms_of(self.daemon)
+        stream.send(frames.Hello(own.statement, own.version, own.feed, known))
         self._last_received_s = self._parts.clock.now_s()
         self._last_ping_s = self._last_received_s + 1e-6
 
@@ -368,6 +375,7 @@
         self._last_failure_s = None
         self._backoff_s = _MIN_BACKOFF_S
         self._handshake_done = True
+        self._parts.events.on_terms(message.terms, self.daemon)
         self._parts.events.on_statement(message.statement, self.daemon)
         self._parts.events.on_version(self, message.version)
         self._parts.events.on_feed(self, message.feed)
--- a/src/savorybend/relay/loadbalancer.py
+++ b/src/savorybend/relay/loadbalancer.py
@@ -57,6 +57,7 @@
     __slots__ = (
         "in_flight",
         "load",
+        "terms",
         "dispatched_since_load",
         "load_received_s",
         "failure_rate",
@@ -67,6 +68,7 @@
     def __init__(self):
         self.in_flight = 0
         self.load: outcomes.Load | None = None
+        self.terms: outcomes.Terms | None = None
         self.dispatched_since_load = 0
         self.load_received_s = 0.0
         self.failure_rate = 0.0
@@ -154,9 +156,18 @@
         """Stores the load that a daemon reported for its backend server."""
         state = self._state(daemon)
         state.load = load
+        if load.terms is not None or load.limit > 0:
+            # Without capacity, the daemon may have restarted and know no
+            # backend server yet.
+            state.terms = load.terms
         state.dispatched_since_load = 0
         state.load_received_s = self._clock.now_s()
 
+    def terms(self, daemon: str) -> outcomes.Terms | None:
+        """Returns what a daemon last reported of its backend server's terms."""
+        state = self._states.get(daemon)
+        return state.terms if state else None
+
     def share(self, service: str, route: str) -> outcomes.Share:
         """Returns the share of a route's calls to a service to admit.
 
--- a/src/savorybend/relay/ownstatement.py
+++ b/src/savorybend/relay/ownstatement.py
@@ -114,6 +114,8 @@
             state=state,
             instance=current.instance if current else "",
             slots=current.slots if current else 0,
+            born_ms=current.born_ms if current else 0,
+            departed=self._server.departed,
         )
 
 
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -119,7 +119,9 @@
             self._abandon(name)
             self._last_numbers.pop(name, None)
         self._boots[name] = message.statement.boot
-        stream.send(frames.Hello(own.statement, own.version, own.feed))
+        self._parts.events.on_terms(message.terms, name)
+        known = self._parts.events.terms_of(name)
+        stream.send(frames.Hello(own.statement, own.version, own.feed, known))
         stream.told = own.statement
         # A daemon without a feed is of a version that needs each statement.
         stream.told_once = message.feed is not None
--- a/src/savorybend/relay/serverterms.py
+++ b/src/savorybend/relay/serverterms.py
@@ -59,6 +59,9 @@
         self._named_s = -math.inf
         self._leaving = False
         self._since_s = -math.inf
+        # Whether the backend server itself has answered this daemon.
+        self._answered = False
+        self._told: outcomes.Terms | None = None
         self._last_invalid_log_s = -math.inf
 
     @property
@@ -89,11 +92,35 @@
         """Applies the conditions of a response."""
         if answered.sent_s < self._since_s:
             return
+        self._answered = True
         self._note_limit(answered)
         if answered.conditions.leaving and not self._leaving:
             self._leaving = True
             self._parts.server.depart(self._identity, "said so in an answer")
 
+    def note_told(self, terms: outcomes.Terms, source: str) -> None:
+        """Applies what another daemon knows from before this one's start.
+
+        Args:
+            terms: What the other daemon knows.
+            source: Its name, for the log.
+        """
+        told = self._told
+        if told == terms or (told and told.born_ms > terms.born_ms):
+            return
+        self._told = terms
+        _log.info(
+            "backend_server_terms_told",
+            instance=terms.instance,
+            rate_per_s=terms.rate_per_s,
+            leaving=terms.leaving,
+            source=source,
+        )
+        if terms.leaving:
+            identity = (terms.instance, terms.born_ms)
+            self._parts.server.depart(identity, f"told by {source}")
+        self._apply_told()
+
     def on_server_change(self) -> None:
         """Forgets the conditions of an earlier backend server."""
         identity = self._parts.server.identity
@@ -104,6 +131,20 @@
         self._set_limit(conditions.Unlimited())
         self._named_s = -math.inf
         self._leaving = False
+        self._answered = False
+        self._apply_told()
+
+    def _apply_told(self) -> None:
+        told = self._told
+        if told is None or self._answered:
+            return
+        if (told.instance, told.born_ms) != self._identity:
+            return
+        self._leaving = told.leaving
+        if told.rate_per_s is not None:
+            limit = conditions.Limited(told.rate_per_s)
+            self._named_s = self._parts.clock.now_s()
+            self._set_limit(conditions.stricter(self._limit, limit))
 
     @property
     def _instance(self) -> str:
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -136,6 +136,23 @@
     _assert_within_limit(calls, fleet.machines, named_s, 4)
 
 
+async def test_a_restarted_daemon_keeps_the_limit_before_an_answer_names_it(
+    fleet,
+):
+    calls = callers.Callers(fleet)
+    for machine in fleet.machines:
+        machine.worker.slots = 100
+        machine.worker.hold_s = 0.5
+    named_s = _name_limit(fleet.machines, 2)
+    load = asyncio.create_task(calls.run(_NAMED_FOR_S + 4, 200))
+    await asyncio.sleep(callers.STABILITY_WINDOW_S)
+    for machine in fleet.machines[:3]:
+        await _restart(calls, machine)
+    await load
+    await calls.finish()
+    _assert_within_limit(calls, fleet.machines, named_s, 2)
+
+
 async def test_a_limit_ends_with_the_answers_that_name_it(fleet):
     calls = callers.Callers(fleet)
     _name_limit(fleet.machines, 4)
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -33,6 +33,12 @@
     def on_connect(self, send):
         pass
 
+    def terms_of(self, daemon):
+        return None
+
+    def on_terms(self, terms, source):
+        pass
+
     def on_feed(self, link, feed):
         pass
 
--- a/tests/relay/test_serverterms.py
+++ b/tests/relay/test_serverterms.py
@@ -8,6 +8,7 @@
 from savorybend.relay import backend
 from savorybend.relay import conditions
 from savorybend.relay import directory
+from savorybend.relay import outcomes
 from savorybend.relay import serverterms
 from tests import fakes
 
@@ -122,3 +123,37 @@
     assert harness.server.state == directory.DRAINING
     harness.announce("i-1", 2)
     assert harness.server.state == directory.READY
+
+
+_TOLD_LIMIT = outcomes.Terms("i-1", 1, 10.0)
+
+
+def test_a_limit_told_by_others_holds_until_the_server_answers():
+    harness = _Harness()
+    harness.terms.note_told(_TOLD_LIMIT, "vm-2")
+    assert harness.rate_per_s == 10.0
+    harness.clock.advance(1.0)
+    harness.answer(conditions.Unlimited())
+    assert harness.rate_per_s == math.inf
+    harness.terms.note_told(outcomes.Terms("i-1", 1, 5.0), "vm-3")
+    assert harness.rate_per_s == math.inf
+
+
+def test_terms_told_before_the_server_is_known_hold_once_it_is():
+    harness = _Harness()
+    limited = outcomes.Terms("i-2", 2, 10.0)
+    harness.terms.note_told(limited, "vm-2")
+    assert harness.rate_per_s == math.inf
+    harness.announce("i-2", 2)
+    assert harness.rate_per_s == 10.0
+
+
+def test_a_departure_told_by_others_holds_for_that_start_of_the_server():
+    harness = _Harness()
+    left = outcomes.Terms("i-2", 2, leaving=True)
+    harness.terms.note_told(left, "vm-2")
+    assert harness.server.state == directory.READY
+    harness.announce("i-2", 2)
+    assert harness.server.state == directory.DRAINING
+    harness.announce("i-2", 3)
+    assert harness.server.state == directory.READY
