--- a/standins/worker.py
+++ b/standins/worker.py
@@ -23,10 +23,12 @@
     Attributes:
         at_s: When it arrived, by the system's monotonic clock, in seconds.
         request_id: Its ID.
+        instance: The backend server's ID at that time.
     """
 
     at_s: float
     request_id: str
+    instance: str
 
 
 class Worker:
@@ -124,6 +126,13 @@
             for transport in list(self._transports):
                 transport.abort()
 
+    async def _begin_anew(self):
+        self.born_ms += 1
+        self._sequence = 0
+        if not self.keeps_id:
+            self.instance = f"{self._first_instance}-{self.born_ms}"
+        await self.start()
+
     async def _restart(self):
         await asyncio.sleep(self.down_s)
         for transport in self._transports:
@@ -131,13 +140,18 @@
         self._transports.clear()
         self._crash_over.set()
         await self._runner.cleanup()
-        self.born_ms += 1
-        self._sequence = 0
-        if not self.keeps_id:
-            self.instance = f"{self._first_instance}-{self.born_ms}"
-        await self.start()
+        await self._begin_anew()
         self._restarting = None
 
+    async def replace(self):
+        """Ends, and begins anew with another ID and nothing to say."""
+        await self.stop()
+        self.limit = ""
+        self.leaving = False
+        self.draining = False
+        self._transports.clear()
+        await self._begin_anew()
+
     def stop_announcing(self):
         """Announces itself no more by itself."""
         self._announcing.cancel()
@@ -197,7 +211,9 @@
             return web.Response(
                 status=421, headers={"Instance-Id": self.instance}
             )
-        self.arrivals.append(Arrival(time.monotonic(), request_id))
+        self.arrivals.append(
+            Arrival(time.monotonic(), request_id, self.instance)
+        )
         body = await request.read()
         self.ran.append(request_id)
         self.seen[request_id] = dict(request.headers)
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+import signal
 import time
 
 import aiohttp
@@ -70,7 +71,24 @@
         """Waits until each call has its answer or failed."""
         await asyncio.gather(*self._tasks)
 
-    def note_disturbed(self, machine):
+    async def restart(self, machine):
+        """Kills a daemon and starts it; returns once it is ready."""
+        self._note_disturbed(machine)
+        machine.signal(signal.SIGKILL)
+        await machine.ended()
+        await machine.start_daemon()
+        await self.fleet.until(machine.ready)
+        self._note_disturbed(machine)
+
+    async def freeze(self, machine, for_s):
+        """Stops a daemon for some time without ending it."""
+        self._note_disturbed(machine)
+        machine.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        machine.signal(signal.SIGCONT)
+        self._note_disturbed(machine)
+
+    def _note_disturbed(self, machine):
         """Notes that a daemon restarted or froze: it has to be told again."""
         self._ended_s.setdefault(machine.name, []).append(time.monotonic())
 
@@ -78,47 +96,58 @@
         """Returns the requests that were sent since a time."""
         return [one for one in self.sent.values() if one.sent_s >= start_s]
 
-    def most_in_window(self, worker, named_s):
+    def most_in_window(self, instance, named_s, until_s=math.inf):
         """Returns the most requests that a server got in a window.
 
         Only those count that began at a daemon which had passed on an answer
         of the server since `named_s`.
+
+        Args:
+            instance: ID of the server.
+            named_s: When it first named the limit.
+            until_s: When it last named it.
         """
-        told = self._told_spans(worker, named_s)
+        told = self._told_spans(instance, named_s)
         times = [
             arrival.at_s
-            for arrival in worker.arrivals
-            if arrival.at_s >= named_s + STABILITY_WINDOW_S
-            and self._was_told(told, arrival)
+            for arrival in self._arrivals(instance)
+            if named_s + STABILITY_WINDOW_S <= arrival.at_s < until_s
+            and _bound(told, self._machine(arrival), arrival.at_s)
         ]
         return max(
             (
-                sum(1 for one in times if start_s <= one < end_s)
-                for start_s, end_s in (
-                    (one, one + LIMIT_WINDOW_S) for one in times
-                )
+                sum(1 for one in times if 0 <= one - start_s < LIMIT_WINDOW_S)
+                for start_s in times
             ),
             default=0,
         )
 
-    def arrived_later_than(self, worker, drain_s, named_s):
+    def arrived_later_than(self, instance, drain_s, named_s):
         """Returns requests that a server got though it had said it leaves.
 
         Those count that were sent later than `drain_s` after their daemon had
         passed on an answer of the server since `named_s`.
         """
-        told = self._told_spans(worker, named_s, drain_s)
+        told = self._told_spans(instance, named_s, drain_s)
         return [
             arrival.request_id
-            for arrival in worker.arrivals
+            for arrival in self._arrivals(instance)
             if self._was_sent_within(told, arrival)
         ]
 
-    def _told_spans(self, worker, named_s, delay_s=TOLD_DELAY_S):
+    def _arrivals(self, instance):
+        return [
+            arrival
+            for machine in self.fleet.machines
+            for arrival in machine.worker.arrivals
+            if arrival.instance == instance
+        ]
+
+    def _told_spans(self, instance, named_s, delay_s=TOLD_DELAY_S):
         """Returns when each daemon was bound by what a server had said."""
         spans = {}
         for one in self.sent.values():
-            if one.instance != worker.instance or one.sent_s < named_s:
+            if one.instance != instance or one.sent_s < named_s:
                 continue
             ends = self._ended_s.get(one.machine, [])
             until_s = min(
@@ -131,9 +160,6 @@
             )
         return spans
 
-    def _was_told(self, told, arrival):
-        return _bound(told, self._machine(arrival), arrival.at_s)
-
     def _was_sent_within(self, told, arrival):
         one = self.sent.get(arrival.request_id)
         return one is not None and _bound(told, one.machine, one.sent_s)
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -33,7 +33,7 @@
 
 def _assert_within_limit(calls, machines, named_s, rate_per_s):
     got = {
-        machine.name: calls.most_in_window(machine.worker, named_s)
+        machine.name: calls.most_in_window(machine.worker.instance, named_s)
         for machine in machines
     }
     assert max(got.values()) <= callers.allowed_in_window(rate_per_s), got
@@ -52,15 +52,6 @@
     return time.monotonic()
 
 
-async def _restart(calls, machine):
-    calls.note_disturbed(machine)
-    machine.signal(signal.SIGKILL)
-    await machine.ended()
-    await machine.start_daemon()
-    await calls.fleet.until(machine.ready)
-    calls.note_disturbed(machine)
-
-
 @pytest.mark.parametrize("entries", [6, 1])
 async def test_one_server_names_a_limit_and_callers_do_not_notice(
     fleet, entries
@@ -124,13 +115,9 @@
     await asyncio.sleep(callers.STABILITY_WINDOW_S)
     for machine in fleet.machines[:3]:
         if number == signal.SIGKILL:
-            await _restart(calls, machine)
+            await calls.restart(machine)
             continue
-        calls.note_disturbed(machine)
-        machine.signal(signal.SIGSTOP)
-        await asyncio.sleep(1.5)
-        machine.signal(signal.SIGCONT)
-        calls.note_disturbed(machine)
+        await calls.freeze(machine, 1.5)
     await load
     await calls.finish()
     _assert_within_limit(calls, fleet.machines, named_s, 4)
@@ -147,7 +134,7 @@
     load = asyncio.create_task(calls.run(_NAMED_FOR_S + 4, 200))
     await asyncio.sleep(callers.STABILITY_WINDOW_S)
     for machine in fleet.machines[:3]:
-        await _restart(calls, machine)
+        await calls.restart(machine)
     await load
     await calls.finish()
     _assert_within_limit(calls, fleet.machines, named_s, 2)
@@ -173,7 +160,7 @@
     named_s = _start_leaving(fleet)
     await calls.run(_DRAIN_S + 3, 100)
     await calls.finish()
-    leaving = fleet.machines[0].worker
+    leaving = fleet.machines[0].worker.instance
     assert calls.arrived_later_than(leaving, _DRAIN_S, named_s) == []
     _assert_all_served(calls, named_s)
 
@@ -187,9 +174,10 @@
     load = asyncio.create_task(calls.run(12, 100))
     for _ in range(2):
         await asyncio.sleep(2.0)
-        await _restart(calls, machine)
+        await calls.restart(machine)
     await asyncio.sleep(2.0)
     fleet.store.trouble = standin_store.Trouble.NONE
     await load
     await calls.finish()
-    assert calls.arrived_later_than(machine.worker, _DRAIN_S, named_s) == []
+    leaving = machine.worker.instance
+    assert calls.arrived_later_than(leaving, _DRAIN_S, named_s) == []
