Believe a stored backend server only after asking other daemons

Callers' requests reached a server that had left: its daemon was killed, the store came back from an older copy in which the server was ready, and the daemon used what it read there until somebody told it otherwise. Change: a daemon restores its server's stored state once two other daemons, or the only one, have said in Hello what they know. Until then the server's own announcement brings it into use.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -144,7 +144,12 @@
             self._callees,
         )
         self._server_terms = serverterms.create_server_terms(
-            serverterms.Parts(self._server, clock, self._call_queue.set_rate)
+            serverterms.Parts(
+                server=self._server,
+                clock=clock,
+                others=lambda: len(self._directory.names),
+                set_rate=self._call_queue.set_rate,
+            )
         )
         self._own_statement.set_terms(lambda: self._server_terms.terms)
         self._pool = pool.Pool(
@@ -189,6 +194,7 @@
                 server=self._server,
                 publisher=self._publisher,
                 suspects=self._suspects,
+                wait_until_asked=self._server_terms.wait_until_asked,
                 start=self._start,
             )
         )
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -260,8 +260,7 @@
 
     def on_terms(self, terms: outcomes.Terms | None, source: str) -> None:
         """Applies what a peer knows of this daemon's backend server."""
-        if terms is not None:
-            self._consumers.server_terms.note_told(terms, source)
+        self._consumers.server_terms.note_asked(source, terms)
 
     def on_control_message(
         self,
--- a/src/savorybend/relay/ownrecord.py
+++ b/src/savorybend/relay/ownrecord.py
@@ -29,6 +29,8 @@
         server: This daemon's backend server.
         publisher: Writes the record.
         suspects: Requests that crash backend servers.
+        wait_until_asked: Waits until other daemons have said whether they know
+            of the backend server's departure.
         start: Starts a coroutine on the event loop.
     """
 
@@ -36,6 +38,9 @@
     server: backend.BackendServer
     publisher: presence.Publisher
     suspects: suspects.Suspects
+    wait_until_asked: collections.abc.Callable[
+        [], collections.abc.Awaitable[None]
+    ]
     start: collections.abc.Callable[[collections.abc.Coroutine], None]
 
 
@@ -48,6 +53,7 @@
     async def take_over(self) -> None:
         """Restores the state from an earlier start, then starts publishing."""
         parts = self._parts
+        stored: backend.StoredState | None = None
         try:
             async with asyncio.timeout(_RESTORE_TIMEOUT_S):
                 record = await parts.publisher.restore()
@@ -55,10 +61,15 @@
                 parts.own.note_earlier_boot(record.statement.boot)
                 for report in record.suspects:
                     parts.suspects.hear(report, "store")
-                parts.server.restore(presence.stored_state(record))
+                stored = presence.stored_state(record)
         except (errors.SavorybendError, TimeoutError) as error:
             _log.warning("record_not_restored", error=repr(error))
         parts.start(parts.publisher.run())
+        if stored is not None and stored.instance:
+            # The store may have come back from a copy in which a backend server
+            # that has left is still ready.
+            await parts.wait_until_asked()
+            parts.server.restore(stored)
         if parts.server.current is None:
             # Its announcement usually arrives soon; waiting for it saves a
             # second write.
--- a/tests/platform/test_older_copy.py
+++ b/tests/platform/test_older_copy.py
@@ -83,6 +83,52 @@
     assert await _ran_at(fleet, leaving) == 0
 
 
+@pytest.mark.parametrize("restarts", [1, 2])
+async def test_a_server_that_left_is_not_used_after_a_restart_and_a_return(
+    fleet, restarts
+):
+    fleet.store.take_copy()
+    machine = fleet.machines[0]
+    machine.worker.stop_announcing()
+    assert await machine.worker.leave() == 200
+    await asyncio.sleep(1.5)
+    for _ in range(restarts):
+        machine.signal(signal.SIGKILL)
+        await machine.ended()
+        await fleet.store.return_to_copy()
+        await machine.start_daemon()
+        await fleet.until(machine.ready)
+        assert await _ran_at(fleet, machine.worker, 120) == 0
+    await _all_know_the_era(fleet)
+    assert await _ran_at(fleet, machine.worker, 120) == 0
+
+
+async def test_a_daemon_that_can_ask_nobody_does_not_use_a_recorded_server(
+    fleet,
+):
+    fleet.store.take_copy()
+    machine, *others = fleet.machines
+    machine.worker.stop_announcing()
+    assert await machine.worker.leave() == 200
+    await asyncio.sleep(0.5)
+    machine.signal(signal.SIGKILL)
+    await machine.ended()
+    for other in others:
+        other.signal(signal.SIGSTOP)
+    await fleet.store.return_to_copy()
+    await machine.start_daemon()
+    await fleet.until(machine.ready)
+    before = len(machine.worker.arrivals)
+    for number in range(20):
+        headers = {"Deadline-Ms": "100"}
+        await fleet.call(machine, "/reads/x", f"n-{number}", headers=headers)
+    for other in others:
+        other.signal(signal.SIGCONT)
+    await _all_know_the_era(fleet)
+    assert await _ran_at(fleet, machine.worker, 60) == 0
+    assert len(machine.worker.arrivals) == before
+
+
 async def test_a_drain_survives_two_returns_in_a_row(fleet):
     fleet.store.take_copy()
     leaving = fleet.machines[0].worker
