Cut daemons off in the tests of limits and departures

A wrapper runs a daemon whose connections to others a test can cut: silent, with what arrives held until the cut is over.

--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from tests.platform import cuttable
+
 # A daemon is bound by what an answer says this long after it passed it on.
 TOLD_DELAY_S = 0.5
 STABILITY_WINDOW_S = 3.0
@@ -88,6 +90,22 @@
         machine.signal(signal.SIGCONT)
         self._note_disturbed(machine)
 
+    async def cut_off(self, machine, for_s):
+        """Cuts a daemon off from all others for some time.
+
+        The others haven't to be told again: only the requests that began at
+        this machine are excused.
+        """
+        others = [one for one in self.fleet.machines if one is not machine]
+        self._note_disturbed(machine)
+        cuttable.cut_of(machine).set(others)
+        for other in others:
+            cuttable.cut_of(other).set([machine])
+        await asyncio.sleep(for_s)
+        for one in self.fleet.machines:
+            cuttable.cut_of(one).set([])
+        self._note_disturbed(machine)
+
     def _note_disturbed(self, machine):
         """Notes that a daemon restarted or froze: it has to be told again."""
         self._ended_s.setdefault(machine.name, []).append(time.monotonic())
--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -15,6 +15,8 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
 _START_S = 10.0
+# FLEETS_BASE_PORT lets several runs stand beside each other.
+_BASE_PORT = int(os.environ.get("FLEETS_BASE_PORT", "21000"))
 
 ROUTES = {
     "reads": {"pathPrefix": "/reads/", "type": "idempotent", "priority": 1},
@@ -100,6 +102,11 @@
         """URL at which callers on this VM connect."""
         return f"http://{self.host}:{self.base}"
 
+    @property
+    def folder(self):
+        """Folder of the fleet's files."""
+        return self._fleet.folder
+
     @property
     def process(self):
         """The daemon's process."""
@@ -277,7 +284,7 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder, services, base_port=21000, command=None, data_centres=2
+    folder, services, base_port=_BASE_PORT, command=None, data_centres=2
 ):
     """Runs a fleet with a machine for each service."""
     fleet = Fleet(folder, base_port, command)
--- a/tests/platform/test_limit_soak.py
+++ b/tests/platform/test_limit_soak.py
@@ -11,6 +11,7 @@
 
 from standins import objects as standin_store
 from tests.platform import callers
+from tests.platform import cuttable
 from tests.platform import fleets
 
 _DRAIN_S = 2.0
@@ -110,10 +111,13 @@
         if machine.name in self._disturbed:
             return
         self._disturbed.add(machine.name)
-        if self._rng.random() < 0.5:
-            await self.calls.restart(machine)
-        else:
-            await self.calls.freeze(machine, self._rng.uniform(0.2, 2.5))
+        match self._rng.choice(["restart", "freeze", "cut"]):
+            case "restart":
+                await self.calls.restart(machine)
+            case "freeze":
+                await self.calls.freeze(machine, self._rng.uniform(0.2, 2.5))
+            case "cut":
+                await self.calls.cut_off(machine, self._rng.uniform(0.2, 2.5))
         self._disturbed.discard(machine.name)
 
     async def _store_trouble(self):
@@ -132,7 +136,9 @@
     tmp_path, seed
 ):
     count = random.Random(seed).randint(3, _MOST_MACHINES)
-    async with fleets.running(tmp_path, ["ledger"] * count) as fleet:
+    services = ["ledger"] * count
+    command = cuttable.command(tmp_path)
+    async with fleets.running(tmp_path, services, command=command) as fleet:
         for machine in fleet.machines:
             machine.worker.hold_s = 0.03
             machine.worker.slots = 30
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -1,13 +1,13 @@
 """Backend servers that name a limit, or that they leave, at real daemons."""
 
 import asyncio
-import signal
 import time
 
 import pytest
 
 from standins import objects as standin_store
 from tests.platform import callers
+from tests.platform import cuttable
 from tests.platform import fleets
 
 _SERVICES = ["ledger"] * 6
@@ -19,7 +19,10 @@
 
 @pytest.fixture
 async def fleet(tmp_path):
-    async with fleets.running(tmp_path, _SERVICES, data_centres=2) as found:
+    command = cuttable.command(tmp_path)
+    async with fleets.running(
+        tmp_path, _SERVICES, data_centres=2, command=command
+    ) as found:
         for machine in found.machines:
             machine.worker.hold_s = 0.02
         yield found
@@ -105,19 +108,20 @@
     assert len(kept) / len(important) > len(served) / len(settled)
 
 
-@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
-async def test_a_limit_is_kept_over_restarts_and_freezes_of_daemons(
-    fleet, number
-):
+@pytest.mark.parametrize("event", ["restart", "freeze", "cut"])
+async def test_a_limit_is_kept_over_failures_of_daemons(fleet, event):
     calls = callers.Callers(fleet)
     named_s = _name_limit(fleet.machines, 4)
     load = asyncio.create_task(calls.run(_NAMED_FOR_S + 6, 200))
     await asyncio.sleep(callers.STABILITY_WINDOW_S)
     for machine in fleet.machines[:3]:
-        if number == signal.SIGKILL:
-            await calls.restart(machine)
-            continue
-        await calls.freeze(machine, 1.5)
+        match event:
+            case "restart":
+                await calls.restart(machine)
+            case "freeze":
+                await calls.freeze(machine, 1.5)
+            case "cut":
+                await calls.cut_off(machine, 1.5)
     await load
     await calls.finish()
     _assert_within_limit(calls, fleet.machines, named_s, 4)
@@ -165,6 +169,24 @@
     _assert_all_served(calls, named_s)
 
 
+async def test_a_server_that_leaves_is_not_used_again_after_cuts(fleet):
+    calls = callers.Callers(fleet)
+    machine = fleet.machines[0]
+    fleet.store.trouble = standin_store.Trouble.RESET
+    await calls.run(1, 100)
+    named_s = _start_leaving(fleet)
+    load = asyncio.create_task(calls.run(10, 100))
+    await asyncio.sleep(0.5)
+    await calls.cut_off(machine, 3.0)
+    await calls.restart(machine)
+    await calls.cut_off(machine, 1.0)
+    fleet.store.trouble = standin_store.Trouble.NONE
+    await load
+    await calls.finish()
+    leaving = machine.worker.instance
+    assert calls.arrived_later_than(leaving, _DRAIN_S, named_s) == []
+
+
 async def test_a_server_that_leaves_is_not_used_again_after_a_restart(fleet):
     calls = callers.Callers(fleet)
     machine = fleet.machines[0]
