Split averages, capacity and shares out of the large relay modules

callqueue.py held the averages of service times, admission.py the estimate of a backend server's capacity, and loadbalancer.py what of a service's load reports the ingress goes by. Each has a module of its own now: servicetimes.py, capacity.py, serviceshare.py.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -18,6 +18,7 @@
 from savorybend.relay import callers
 from savorybend.relay import callqueue
 from savorybend.relay import calls
+from savorybend.relay import capacity
 from savorybend.relay import catalog
 from savorybend.relay import counters
 from savorybend.relay import directory
@@ -132,7 +133,7 @@
             callqueue.Parts(
                 self._timers,
                 self._rng.random,
-                admission.create_capacity_estimator(clock),
+                capacity.create_capacity_estimator(clock),
             )
         )
         self._callees = admission.create_callees(clock, self._share_of_callee)
--- a/src/savorybend/relay/callqueue.py
+++ b/src/savorybend/relay/callqueue.py
@@ -11,13 +11,12 @@
 
 from savorybend.internal import fairqueue
 from savorybend.internal import timers
-from savorybend.relay import admission
 from savorybend.relay import calls
+from savorybend.relay import capacity
 from savorybend.relay import outcomes
 from savorybend.relay import ratelimit
+from savorybend.relay import servicetimes
 
-_MEAN_DECAY = 0.95
-_INITIAL_MEAN_S = 0.05
 # Queue delay that absorbs bursts; where calls take longer than this, the queue
 # holds one call per slot instead. A longer queue adds latency but no
 # throughput.
@@ -99,32 +98,6 @@
     """Replaces callbacks that were cleared."""
 
 
-class ServiceTimes:
-    """Moving averages of a backend server's service time."""
-
-    def __init__(self):
-        self._mean_s = _INITIAL_MEAN_S
-        self._by_route: dict[str, float] = {}
-
-    @property
-    def mean_s(self) -> float:
-        """Mean service time over all calls, in seconds."""
-        return self._mean_s
-
-    def of(self, route: str) -> float:
-        """Returns the mean of a route, in seconds; 0 before its first call."""
-        return self._by_route.get(route, 0.0)
-
-    def note(self, route: str, took_s: float) -> None:
-        """Records the service time of one call, in seconds."""
-        self._mean_s += (took_s - self._mean_s) * (1 - _MEAN_DECAY)
-        known = self._by_route.get(route)
-        if known is None:
-            self._by_route[route] = took_s
-        else:
-            self._by_route[route] += (took_s - known) * (1 - _MEAN_DECAY)
-
-
 class CallQueue:
     """Starts calls while slots are free and queues the others."""
 
@@ -132,7 +105,7 @@
         self,
         timer_service: timers.TimerService,
         random_fraction: collections.abc.Callable[[], float],
-        estimator: admission.CapacityEstimator,
+        estimator: capacity.CapacityEstimator,
     ):
         clock = timer_service.clock
         self._timers = timer_service
@@ -143,7 +116,7 @@
         self._estimator = estimator
         self._limit = 0
         self._running = 0
-        self._times = ServiceTimes()
+        self._times = servicetimes.ServiceTimes()
         self._last_answer_s = -math.inf
         self._last_sweep_s = clock.now_s()
         self._queue = fairqueue.create_fair_queue(_equal_weight)
@@ -378,7 +351,7 @@
 
     timers: timers.TimerService
     random_fraction: collections.abc.Callable[[], float]
-    estimator: admission.CapacityEstimator
+    estimator: capacity.CapacityEstimator
 
 
 def create_call_queue(parts: Parts) -> CallQueue:
--- a/src/savorybend/relay/loadbalancer.py
+++ b/src/savorybend/relay/loadbalancer.py
@@ -12,12 +12,12 @@
 
 from savorybend.internal import sentinels
 from savorybend.internal import timers
-from savorybend.relay import admission
 from savorybend.relay import calls
 from savorybend.relay import directory
 from savorybend.relay import frames
 from savorybend.relay import outcomes
 from savorybend.relay import routelatency
+from savorybend.relay import serviceshare
 
 NO_DAEMON = sentinels.create(
     "NO_DAEMON", "no daemon of the service takes calls"
@@ -48,7 +48,6 @@
 # The same where the backend server's limit was used up. Its daemon tells when
 # the next call fits, which doesn't change as other calls end.
 _MAX_RATE_LIMITED_S = 1.0
-_MIN_RATE_PER_S = 0.01
 
 
 class _DaemonState:
@@ -171,11 +170,7 @@
     def share(self, service: str, route: str) -> outcomes.Share:
         """Returns the share of a route's calls to a service to admit.
 
-        This is the mean over the service's daemons: the maximum would admit
-        calls that the other daemons have no capacity for. Daemons whose last
-        report is older than `_LOAD_TTL_S` are left out, and so are those whose
-        backend servers name a limit while others name none: the others take
-        what they refuse.
+        Daemons whose last report is older than `_LOAD_TTL_S` are left out.
         """
         now_s = self._clock.now_s()
         own = self._own()
@@ -189,7 +184,7 @@
             fresh = now_s - state.load_received_s <= _LOAD_TTL_S
             if fresh and statement.state == directory.READY:
                 loads.append(state.load)
-        return _mean_share(service, route, loads)
+        return serviceshare.mean_share(service, route, loads)
 
     def choose(
         self, call: calls.Call, tried: collections.abc.Collection[str]
@@ -363,35 +358,6 @@
         return state
 
 
-def _mean_share(
-    service: str, route: str, loads: list[outcomes.Load]
-) -> outcomes.Share:
-    loads = [load for load in loads if not load.rate_limited] or loads
-    if not loads:
-        return outcomes.Share(admission.FULL_SHARE, service)
-    own = _mean_part(loads)
-    callees = [load.shares[route] for load in loads if route in load.shares]
-    if callees:
-        total = sum(share.part for share in callees)
-        total += admission.FULL_SHARE * (len(loads) - len(callees))
-        mean = total / len(loads)
-        if mean < own:
-            return outcomes.Share(mean, callees[0].service)
-    return outcomes.Share(own, service)
-
-
-def _mean_part(loads: list[outcomes.Load]) -> float:
-    if not all(load.rate_limited for load in loads):
-        return sum(load.part for load in loads) / len(loads)
-    if any(load.part >= admission.FULL_SHARE for load in loads):
-        # It has room for what the others refuse.
-        return admission.FULL_SHARE
-    # The limits of one service's servers may be far apart, or all 0.
-    rates = [max(_MIN_RATE_PER_S, load.terms.rate_per_s) for load in loads]
-    parts = zip(loads, rates, strict=True)
-    return sum(load.part * rate for load, rate in parts) / sum(rates)
-
-
 def _full_s(refusal: outcomes.NotRun) -> float:
     longest_s = _MAX_FULL_S
     if refusal.reason == outcomes.SERVER_LIMIT:
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -55,38 +55,35 @@
     return time.monotonic()
 
 
+async def _assert_callers_do_not_notice(fleet, limited, load_per_s, **more):
+    """Lets the first `limited` servers name a limit, with load on all."""
+    rate_per_s = more.pop("rate_per_s", 4)
+    calls = callers.Callers(fleet)
+    machines = fleet.machines[:limited]
+    named_s = _name_limit(machines, rate_per_s)
+    await calls.run(_NAMED_FOR_S, load_per_s, **more)
+    await calls.finish()
+    _assert_within_limit(calls, machines, named_s, rate_per_s)
+    _assert_all_served(calls, named_s)
+
+
 @pytest.mark.parametrize("entries", [6, 1])
 async def test_one_server_names_a_limit_and_callers_do_not_notice(
     fleet, entries
 ):
-    calls = callers.Callers(fleet)
-    limited = fleet.machines[:1]
-    named_s = _name_limit(limited, 6)
-    await calls.run(_NAMED_FOR_S, 120, fleet.machines[:entries])
-    await calls.finish()
-    _assert_within_limit(calls, limited, named_s, 6)
-    _assert_all_served(calls, named_s)
+    machines = fleet.machines[:entries]
+    await _assert_callers_do_not_notice(
+        fleet, 1, 120, rate_per_s=6, machines=machines
+    )
 
 
 async def test_five_of_six_name_a_limit_and_callers_do_not_notice(fleet):
-    calls = callers.Callers(fleet)
-    limited = fleet.machines[:5]
-    named_s = _name_limit(limited, 4)
-    await calls.run(_NAMED_FOR_S, 80)
-    await calls.finish()
-    _assert_within_limit(calls, limited, named_s, 4)
-    _assert_all_served(calls, named_s)
+    await _assert_callers_do_not_notice(fleet, 5, 80)
 
 
 async def test_a_slow_server_names_a_limit_and_callers_do_not_notice(fleet):
-    calls = callers.Callers(fleet)
-    limited = fleet.machines[:1]
-    limited[0].worker.hold_s = 0.15
-    named_s = _name_limit(limited, 2.5)
-    await calls.run(_NAMED_FOR_S, 60)
-    await calls.finish()
-    _assert_within_limit(calls, limited, named_s, 2.5)
-    _assert_all_served(calls, named_s)
+    fleet.machines[0].worker.hold_s = 0.15
+    await _assert_callers_do_not_notice(fleet, 1, 60, rate_per_s=2.5)
 
 
 async def test_all_servers_name_a_limit_and_use_it_for_important_calls(fleet):
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -10,6 +10,7 @@
 
 from savorybend.relay import admission
 from savorybend.relay import callqueue
+from savorybend.relay import capacity
 from savorybend.relay import outcomes
 from tests import fakes
 from tests.relay import samples
@@ -33,7 +34,7 @@
     def __init__(self, seed, admits=True):
         self.clock = fakes.create_clock()
         self.rng = random.Random(seed)
-        self.estimator = admission.create_capacity_estimator(self.clock)
+        self.estimator = capacity.create_capacity_estimator(self.clock)
         self.call_queue = samples.call_queue(
             self.clock, self.estimator, self.rng.random
         )
@@ -210,7 +211,7 @@
 
 def test_a_limit_that_ends_leaves_no_refusals_behind():
     clock = fakes.create_clock()
-    estimator = admission.create_capacity_estimator(clock)
+    estimator = capacity.create_capacity_estimator(clock)
     estimator.note_running(1, 10)
     estimator.set_rate(4.0)
     for _ in range(20):
--- a/tests/relay/test_callqueue.py
+++ b/tests/relay/test_callqueue.py
@@ -2,6 +2,7 @@
 
 from savorybend.relay import admission
 from savorybend.relay import callqueue
+from savorybend.relay import capacity
 from savorybend.relay import outcomes
 from tests import fakes
 from tests.relay import samples
@@ -12,7 +13,7 @@
 
     def __init__(self, limit):
         self.clock = fakes.create_clock()
-        estimator = admission.create_capacity_estimator(self.clock)
+        estimator = capacity.create_capacity_estimator(self.clock)
         self.call_queue = samples.call_queue(self.clock, estimator)
         self.call_queue.set_limit(limit)
         self.entered = []
--- a/tests/relay/test_loadbalancer.py
+++ b/tests/relay/test_loadbalancer.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from savorybend.relay import admission
 from savorybend.relay import callqueue
+from savorybend.relay import capacity
 from savorybend.relay import directory
 from savorybend.relay import loadbalancer
 from savorybend.relay import outcomes
@@ -144,7 +144,7 @@
     # that is longer than the means of the other daemons, it never gets a call.
     harness = _Harness([samples.statement("new"), samples.statement("old")])
     joined = samples.call_queue(
-        harness.clock, admission.create_capacity_estimator(harness.clock)
+        harness.clock, capacity.create_capacity_estimator(harness.clock)
     )
     joined.set_limit(10)
     harness.balancer.update_load("new", joined.load)
@@ -154,7 +154,7 @@
 
 def test_one_that_was_slow_while_cold_is_tried_again_when_it_had_no_calls():
     harness = _Harness([samples.statement("cold"), samples.statement("old")])
-    estimator = admission.create_capacity_estimator(harness.clock)
+    estimator = capacity.create_capacity_estimator(harness.clock)
     cold = samples.call_queue(harness.clock, estimator)
     cold.set_limit(10)
     for _ in range(5):
--- a/tests/relay/test_ratelimit.py
+++ b/tests/relay/test_ratelimit.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from savorybend.relay import admission
 from savorybend.relay import callqueue
+from savorybend.relay import capacity
 from savorybend.relay import outcomes
 from savorybend.relay import ratelimit
 from tests import fakes
@@ -74,7 +74,7 @@
 
     def __init__(self, rate_per_s):
         self.clock = fakes.create_clock()
-        estimator = admission.create_capacity_estimator(self.clock)
+        estimator = capacity.create_capacity_estimator(self.clock)
         self.timers = samples.timer_service(self.clock)
         self.queue = callqueue.create_call_queue(
             callqueue.Parts(self.timers, lambda: 0.5, estimator)
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -1,7 +1,7 @@
 """Tests of the calls that are sent to the local backend server."""
 
-from savorybend.relay import admission
 from savorybend.relay import backend
+from savorybend.relay import capacity
 from savorybend.relay import outcomes
 from savorybend.relay import serving
 from tests import fakes
@@ -58,7 +58,7 @@
         self.watchdog = _Watchdog()
         self.outcomes = {}
         server = backend.BackendServer(_ADDRESS, 1.0, clock, lambda: None)
-        estimator = admission.create_capacity_estimator(clock)
+        estimator = capacity.create_capacity_estimator(clock)
         self._serving = serving.create_serving(
             serving.Parts(
                 server=server,
--- a/tests/relay/test_unequal_servers.py
+++ b/tests/relay/test_unequal_servers.py
@@ -13,6 +13,7 @@
 
 from savorybend.relay import admission
 from savorybend.relay import callqueue
+from savorybend.relay import capacity
 from savorybend.relay import directory
 from savorybend.relay import loadbalancer
 from savorybend.relay import outcomes
@@ -36,7 +37,7 @@
     def __init__(self, site, number):
         self.name = f"vm-{number}"
         self.mean_s = _MEANS_S[number]
-        self.estimator = admission.create_capacity_estimator(site.clock)
+        self.estimator = capacity.create_capacity_estimator(site.clock)
         self.queue = samples.call_queue(
             site.clock, self.estimator, site.rng.random
         )
