Send Hello first also when it brings news, and count waiting calls once

Found by reading: a departure told in a peer's Hello was announced on that same connection before this side's own Hello, which peers of the build before take for the first message. And whether calls wait was asked of the queue for each call, also without a free slot.

--- a/src/savorybend/relay/callqueue.py
+++ b/src/savorybend/relay/callqueue.py
@@ -157,7 +157,7 @@
     def enter(self, queued_call: QueuedCall) -> None:
         """Starts a call, queues it or refuses it at once."""
         self._estimator.note_arrival()
-        if not len(self._queue) and self._may_start():
+        if self._may_start_at_once():
             self._start(queued_call)
             return
         self._sweep_if_due()
@@ -307,9 +307,11 @@
         )
         return outcomes.NotRun(reason, retry_after_s=retry_after_s)
 
-    def _may_start(self) -> bool:
-        """Takes a token if a slot is free; returns whether a call may start."""
-        return self._running < self._limit and self._rate_limit.take()
+    def _may_start_at_once(self) -> bool:
+        """Returns whether a call needn't be queued; takes a token if so."""
+        if self._running >= self._limit or len(self._queue):
+            return False
+        return self._rate_limit.take()
 
     def _start_queued(self) -> None:
         while self._running < self._limit and len(self._queue):
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -104,6 +104,8 @@
 
     def _on_hello(self, stream: streams.Stream, message: frames.Hello) -> None:
         name = message.statement.daemon
+        # Before the connection is known: a change is announced on all others.
+        self._parts.events.on_terms(message.terms, name)
         old = self._streams.get(name)
         stream.peer = name
         own = self._parts.own
@@ -119,7 +121,6 @@
             self._abandon(name)
             self._last_numbers.pop(name, None)
         self._boots[name] = message.statement.boot
-        self._parts.events.on_terms(message.terms, name)
         known = self._parts.events.terms_of(name)
         stream.send(frames.Hello(own.statement, own.version, own.feed, known))
         stream.told = own.statement
