--- a/tests/platform/test_limit_soak.py
+++ b/tests/platform/test_limit_soak.py
@@ -65,6 +65,7 @@
             self._repeat(self._disturb, 1.5),
             self._repeat(self._disturb, 2.5),
             self._repeat(self._store_trouble, 4.0),
+            self._repeat(self._return_store, 4.0),
         )
         await load
         await self.calls.finish()
@@ -125,6 +126,11 @@
         await asyncio.sleep(self._rng.uniform(0.2, 2.0))
         self._fleet.store.trouble = standin_store.Trouble.NONE
 
+    async def _return_store(self):
+        self._fleet.store.take_copy()
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        await self._fleet.store.return_to_copy()
+
     def _end_limit(self, worker, now_s):
         for one in self.named:
             if one.instance == worker.instance:
