Keep a stored departure while other daemons are asked

Callers saw: after a restart of the daemon, a late announcement put a backend server that had left back into service, until another daemon told of its departure: 1 call of 20 reached it.

Cause: since a stored state is believed only after two other daemons were asked, what the store says of a departure waited as well. An announcement that arrived in that time was the first the daemon knew of the server. One that arrived before the record was read, with a slow store, did the same before.

Change: `BackendServer.remember` notes the stored state as soon as it is read: older announcements are ignored and a departure is in force. Only `restore`, which takes a server back into service, waits for the others.

--- a/src/savorybend/relay/backend.py
+++ b/src/savorybend/relay/backend.py
@@ -69,6 +69,11 @@
     sequence: int
     state: str
 
+    @property
+    def in_service(self) -> bool:
+        """Whether it was ready, or only out of reach."""
+        return self.state in (directory.READY, directory.LOST)
+
 
 class BackendServer:
     """Tracks this daemon's backend server and whether it accepts calls.
@@ -127,20 +132,39 @@
             return None
         return (self._current.instance, self._current.born_ms)
 
-    def restore(self, stored: StoredState) -> None:
-        """Restores the state that an earlier start of this daemon stored.
+    @property
+    def can_restore(self) -> bool:
+        """Whether `restore` would take a backend server into service."""
+        stored = self._restored
+        if stored is None or not stored.in_service:
+            return False
+        return (stored.instance, stored.born_ms) != self._departed
 
-        A backend server that was ready or lost counts as ready until it
-        announces otherwise, since its next announcement may take a while. This
-        is safe because each request names the instance that it is meant for.
+    def remember(self, stored: StoredState) -> None:
+        """Notes the state that an earlier start of this daemon stored.
+
+        From then on announcements older than it are ignored, and a backend
+        server that had left stays out of service.
         """
-        if self._current is not None or not stored.instance:
+        if not stored.instance:
             return
-        if (stored.instance, stored.born_ms) == self._departed:
-            stored = stored._replace(state=directory.DRAINING)
-        self._restored = stored
-        if stored.state not in (directory.READY, directory.LOST):
+        if self._current is None:
+            self._restored = stored
+        if not stored.in_service:
+            identity = (stored.instance, stored.born_ms)
+            self.depart(identity, "had left before this start")
+
+    def restore(self) -> None:
+        """Takes the remembered backend server back into service.
+
+        It counts as ready until it announces otherwise, since its next
+        announcement may take a while. This is safe because each request names
+        the instance that it is meant for. Does nothing without `can_restore`:
+        it has left, or a backend server has announced itself since the start.
+        """
+        if not self.can_restore:
             return
+        stored = self._restored
         self._current = Announcement(
             instance=stored.instance,
             service=stored.service,
@@ -274,8 +298,7 @@
             return announcement.born_ms < stored.born_ms
         if announcement.instance != stored.instance:
             return False
-        leaving = stored.state in (directory.DRAINING, directory.ABSENT)
-        return leaving and not announcement.draining
+        return not stored.in_service and not announcement.draining
 
     def _apply_trigger(self, trigger: str) -> None:
         self._state = self._chart.next_state(self._state, trigger)
--- a/src/savorybend/relay/ownrecord.py
+++ b/src/savorybend/relay/ownrecord.py
@@ -53,7 +53,6 @@
     async def take_over(self) -> None:
         """Restores the state from an earlier start, then starts publishing."""
         parts = self._parts
-        stored: backend.StoredState | None = None
         try:
             async with asyncio.timeout(_RESTORE_TIMEOUT_S):
                 record = await parts.publisher.restore()
@@ -61,15 +60,15 @@
                 parts.own.note_earlier_boot(record.statement.boot)
                 for report in record.suspects:
                     parts.suspects.hear(report, "store")
-                stored = presence.stored_state(record)
+                parts.server.remember(presence.stored_state(record))
         except (errors.SavorybendError, TimeoutError) as error:
             _log.warning("record_not_restored", error=repr(error))
         parts.start(parts.publisher.run())
-        if stored is not None and stored.instance:
+        if parts.server.can_restore:
             # The store may have come back from a copy in which a backend server
             # that has left is still ready.
             await parts.wait_until_asked()
-            parts.server.restore(stored)
+            parts.server.restore()
         if parts.server.current is None:
             # Its announcement usually arrives soon; waiting for it saves a
             # second write.
--- a/tests/relay/test_backend.py
+++ b/tests/relay/test_backend.py
@@ -92,7 +92,7 @@
 
 def test_late_announcement_does_not_undo_a_restored_drain():
     server = _server()
-    server.restore(_stored_state(directory.DRAINING))
+    server.remember(_stored_state(directory.DRAINING))
     server.announce(_announcement(sequence=9))
     assert not server.takes_calls
 
@@ -106,7 +106,8 @@
     # left whole services without any backend server.
     changes = []
     server = _server(changes)
-    server.restore(_stored_state(directory.READY))
+    server.remember(_stored_state(directory.READY))
+    server.restore()
     assert server.takes_calls
     assert server.current.instance == "i-1"
     assert changes
@@ -115,7 +116,8 @@
 def test_restored_state_does_not_replace_a_newer_announcement():
     server = _server()
     server.announce(_announcement(sequence=9, draining=True))
-    server.restore(_stored_state(directory.READY))
+    server.remember(_stored_state(directory.READY))
+    server.restore()
     assert server.state == directory.DRAINING
 
 
@@ -124,7 +126,8 @@
     # server as well. If the record could not be removed, every announcement
     # after the restart was ignored.
     server = _server()
-    server.restore(_stored_state(directory.READY))
+    server.remember(_stored_state(directory.READY))
+    server.restore()
     server.announce(_announcement(sequence=8))
     assert server.takes_calls
 
