Keep a told departure when another daemon tells only a limit

Cause: of two daemons that tell a restarted one what they know of its backend server, the last one won. If it hadn't heard of the departure, the metric `savorybend_backend_server_leaving` and the load reports said again that the server stays; its state and statement didn't.

Change: a departure, once told, holds for that start of the server.

The new test in test_serverterms.py failed before.

--- a/src/savorybend/relay/serverterms.py
+++ b/src/savorybend/relay/serverterms.py
@@ -161,7 +161,7 @@
             return
         if (told.instance, told.born_ms) != self._identity:
             return
-        self._leaving = told.leaving
+        self._leaving = self._leaving or told.leaving
         if told.rate_per_s is not None:
             limit = conditions.Limited(told.rate_per_s)
             self._named_s = self._parts.clock.now_s()
--- a/tests/relay/test_serverterms.py
+++ b/tests/relay/test_serverterms.py
@@ -162,6 +162,15 @@
     assert harness.server.state == directory.READY
 
 
+def test_a_told_departure_holds_when_another_tells_only_a_limit():
+    harness = _Harness()
+    left = outcomes.Terms("i-1", 1, leaving=True)
+    harness.terms.note_asked("vm-2", left)
+    harness.terms.note_asked("vm-3", _TOLD_LIMIT)
+    assert harness.terms.leaving
+    assert harness.rate_per_s == 10.0
+
+
 async def test_a_stored_state_is_believed_once_two_others_were_heard():
     harness = _Harness()
     waiting = asyncio.create_task(harness.terms.wait_until_asked())
