--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -1,11 +1,13 @@
 """Factories of calls, routes and daemon statements for tests."""
 
 from savorybend.internal import timers
+from savorybend.relay import backend
 from savorybend.relay import callqueue
 from savorybend.relay import calls
 from savorybend.relay import frames
 
 SERVICE = "ledger"
+BACKEND_ADDRESS = "127.0.0.1:1"
 
 
 def call(**changes):
@@ -62,6 +64,31 @@
     return frames.Statement(**{**fields, **changes})
 
 
+def announcement(**changes):
+    """Returns an announcement by a ready backend server, with some changes."""
+    fields = {
+        "instance": "i-1",
+        "service": SERVICE,
+        "address": BACKEND_ADDRESS,
+        "slots": 10,
+        "draining": False,
+        "born_ms": 1000,
+        "sequence": 1,
+        "cold_s": 0.0,
+    }
+    return backend.Announcement(**{**fields, **changes})
+
+
+class CancelHandle:
+    """Handle of a submitted call; notes whether the call was cancelled."""
+
+    def __init__(self):
+        self.cancelled = False
+
+    def cancel(self):
+        self.cancelled = True
+
+
 def timer_service(clock):
     """Returns a timer service that runs with a manual clock."""
     return timers.create_manual_timer_service(clock)
--- a/tests/relay/test_backend.py
+++ b/tests/relay/test_backend.py
@@ -6,70 +6,59 @@
 from savorybend.relay import backend
 from savorybend.relay import directory
 from tests import fakes
-
-_ADDRESS = "10.0.0.1:80"
+from tests.relay import samples
 
 
 def _server(changes=None):
     seen = [] if changes is None else changes
     return backend.BackendServer(
-        _ADDRESS, 1.5, fakes.create_clock(), lambda: seen.append(1)
+        samples.BACKEND_ADDRESS,
+        1.5,
+        fakes.create_clock(),
+        lambda: seen.append(1),
     )
 
 
-def _announcement(**changes):
-    return backend.Announcement(
-        instance="i-1",
-        service="ledger",
-        address=_ADDRESS,
-        slots=10,
-        draining=False,
-        born_ms=1000,
-        sequence=1,
-        cold_s=0.0,
-    )._replace(**changes)
-
-
 def test_announced_server_takes_calls():
     server = _server()
-    server.announce(_announcement())
+    server.announce(samples.announcement())
     assert server.takes_calls
 
 
 def test_late_announcement_does_not_undo_a_drain():
     server = _server()
-    server.announce(_announcement(sequence=4))
-    server.announce(_announcement(sequence=6, draining=True))
-    server.announce(_announcement(sequence=5))
+    server.announce(samples.announcement(sequence=4))
+    server.announce(samples.announcement(sequence=6, draining=True))
+    server.announce(samples.announcement(sequence=5))
     assert server.state == directory.DRAINING
 
 
 def test_announcement_of_an_earlier_instance_is_ignored():
     server = _server()
-    server.announce(_announcement(instance="i-2", born_ms=2000))
-    server.announce(_announcement(sequence=99))
+    server.announce(samples.announcement(instance="i-2", born_ms=2000))
+    server.announce(samples.announcement(sequence=99))
     assert server.current.instance == "i-2"
 
 
 def test_restart_with_the_same_id_restarts_the_sequence():
     server = _server()
-    server.announce(_announcement(sequence=50, draining=True))
-    server.announce(_announcement(sequence=1, born_ms=5000))
+    server.announce(samples.announcement(sequence=50, draining=True))
+    server.announce(samples.announcement(sequence=1, born_ms=5000))
     assert server.takes_calls
 
 
 def test_late_announcement_does_not_undo_a_withdrawal():
     server = _server()
-    server.announce(_announcement(sequence=4))
+    server.announce(samples.announcement(sequence=4))
     server.withdraw("i-1", 1000)
-    server.announce(_announcement(sequence=9))
+    server.announce(samples.announcement(sequence=9))
     assert server.state == directory.ABSENT
 
 
 def test_repeated_withdrawal_is_one_change():
     changes = []
     server = _server(changes)
-    server.announce(_announcement())
+    server.announce(samples.announcement())
     server.withdraw("i-1", 1000)
     before = len(changes)
     server.withdraw("i-1", 1000)
@@ -78,14 +67,14 @@
 
 def test_withdrawal_of_another_instance_is_ignored():
     server = _server()
-    server.announce(_announcement())
+    server.announce(samples.announcement())
     server.withdraw("i-0", 0)
     assert server.takes_calls
 
 
 def test_announcement_from_another_address_is_invalid():
     server = _server()
-    result = server.announce(_announcement(address="10.0.0.9:80"))
+    result = server.announce(samples.announcement(address="10.0.0.9:80"))
     assert not result.valid
     assert server.current is None
 
@@ -93,7 +82,7 @@
 def test_late_announcement_does_not_undo_a_restored_drain():
     server = _server()
     server.remember(_stored_state(directory.DRAINING))
-    server.announce(_announcement(sequence=9))
+    server.announce(samples.announcement(sequence=9))
     assert not server.takes_calls
 
 
@@ -113,9 +102,9 @@
     assert changes
 
 
-def test_restored_state_does_not_replace_a_newer_announcement():
+def test_restored_state_does_not_replace_a_newerannouncement():
     server = _server()
-    server.announce(_announcement(sequence=9, draining=True))
+    server.announce(samples.announcement(sequence=9, draining=True))
     server.remember(_stored_state(directory.READY))
     server.restore()
     assert server.state == directory.DRAINING
@@ -128,16 +117,16 @@
     server = _server()
     server.remember(_stored_state(directory.READY))
     server.restore()
-    server.announce(_announcement(sequence=8))
+    server.announce(samples.announcement(sequence=8))
     assert server.takes_calls
 
 
-def test_lost_server_is_ready_after_its_next_announcement():
+def test_lost_server_is_ready_after_its_nextannouncement():
     server = _server()
-    server.announce(_announcement())
+    server.announce(samples.announcement())
     server.lose("test")
     assert not server.takes_calls
-    server.announce(_announcement(sequence=2))
+    server.announce(samples.announcement(sequence=2))
     assert server.takes_calls
 
 
@@ -149,6 +138,8 @@
     server = _server()
     for sequence in order:
         server.announce(
-            _announcement(sequence=sequence, draining=sequence >= drains_at)
+            samples.announcement(
+                sequence=sequence, draining=sequence >= drains_at
+            )
         )
     assert server.state == directory.DRAINING
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -6,8 +6,6 @@
 from tests import fakes
 from tests.relay import samples
 
-_ADDRESS = "127.0.0.1:1"
-
 
 class _Daemon:
     """A backend server and what its crashes are blamed on."""
@@ -22,7 +20,7 @@
             ),
         )
         self.server = backend.BackendServer(
-            _ADDRESS, 1.0, self.clock, self._on_change
+            samples.BACKEND_ADDRESS, 1.0, self.clock, self._on_change
         )
         self._sequence = 0
         self.announce()
@@ -33,15 +31,11 @@
     def announce(self, instance="i-1", born_ms=1, draining=False):
         self._sequence += 1
         self.server.announce(
-            backend.Announcement(
-                instance,
-                "ledger",
-                _ADDRESS,
-                4,
-                draining,
-                born_ms,
-                self._sequence,
-                0.0,
+            samples.announcement(
+                instance=instance,
+                draining=draining,
+                born_ms=born_ms,
+                sequence=self._sequence,
             )
         )
 
--- a/tests/relay/test_ingress.py
+++ b/tests/relay/test_ingress.py
@@ -70,14 +70,6 @@
         pass
 
 
-class _Handle:
-    def __init__(self):
-        self.cancelled = False
-
-    def cancel(self):
-        self.cancelled = True
-
-
 class _Target:
     """A daemon with a fixed outcome; without one, calls stay pending."""
 
@@ -87,7 +79,7 @@
         self.handles = []
 
     def submit(self, call, callback):
-        handle = _Handle()
+        handle = samples.CancelHandle()
         self.given.append((call, callback))
         self.handles.append(handle)
         if self.outcome is not None:
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -52,14 +52,6 @@
         pass
 
 
-class _Handle:
-    def __init__(self):
-        self.cancelled = False
-
-    def cancel(self):
-        self.cancelled = True
-
-
 class _Serving:
     """Accepts calls; the test answers them through the callbacks."""
 
@@ -69,7 +61,7 @@
 
     def submit(self, call, callback):
         self.taken.append((call, callback))
-        self.handles.append(_Handle())
+        self.handles.append(samples.CancelHandle())
         return self.handles[-1]
 
 
--- a/tests/relay/test_ownrecord.py
+++ b/tests/relay/test_ownrecord.py
@@ -12,7 +12,6 @@
 from tests import fakes
 from tests.relay import samples
 
-_ADDRESS = "10.0.0.1:80"
 _STORED_SEQUENCE = 7
 
 
@@ -36,7 +35,7 @@
 class _Harness:
     def __init__(self, state):
         self.server = backend.BackendServer(
-            _ADDRESS, 1.5, fakes.create_clock(), lambda: None
+            samples.BACKEND_ADDRESS, 1.5, fakes.create_clock(), lambda: None
         )
         self.asked = asyncio.Event()
         own = types.SimpleNamespace(
@@ -54,18 +53,9 @@
             )
         )
 
-    def announce(self, sequence=_STORED_SEQUENCE + 1):
+    def announce(self):
         self.server.announce(
-            backend.Announcement(
-                instance="i-1",
-                service="ledger",
-                address=_ADDRESS,
-                slots=10,
-                draining=False,
-                born_ms=1000,
-                sequence=sequence,
-                cold_s=0.0,
-            )
+            samples.announcement(sequence=_STORED_SEQUENCE + 1)
         )
 
 
--- a/tests/relay/test_serverterms.py
+++ b/tests/relay/test_serverterms.py
@@ -12,8 +12,8 @@
 from savorybend.relay import outcomes
 from savorybend.relay import serverterms
 from tests import fakes
+from tests.relay import samples
 
-_ADDRESS = "127.0.0.1:1"
 _LIMITED = conditions.Limited(10.0)
 
 
@@ -23,7 +23,7 @@
         self.rate_per_s = math.inf
         self._sequence = 0
         self.server = backend.BackendServer(
-            _ADDRESS, 1.0, self.clock, lambda: None
+            samples.BACKEND_ADDRESS, 1.0, self.clock, lambda: None
         )
         self.terms = serverterms.create_server_terms(
             serverterms.Parts(
@@ -39,15 +39,8 @@
     def announce(self, instance, born_ms):
         self._sequence += 1
         self.server.announce(
-            backend.Announcement(
-                instance,
-                "ledger",
-                _ADDRESS,
-                4,
-                False,
-                born_ms,
-                self._sequence,
-                0.0,
+            samples.announcement(
+                instance=instance, born_ms=born_ms, sequence=self._sequence
             )
         )
         self.terms.on_server_change()
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -7,8 +7,6 @@
 from tests import fakes
 from tests.relay import samples
 
-_ADDRESS = "127.0.0.1:1"
-
 
 class _Pool:
     """Notes dispatched calls; the test answers them."""
@@ -57,7 +55,9 @@
         self.pool, self.suspects = _Pool(), _Suspects()
         self.watchdog = _Watchdog()
         self.outcomes = {}
-        server = backend.BackendServer(_ADDRESS, 1.0, clock, lambda: None)
+        server = backend.BackendServer(
+            samples.BACKEND_ADDRESS, 1.0, clock, lambda: None
+        )
         estimator = capacity.create_capacity_estimator(clock)
         self._serving = serving.create_serving(
             serving.Parts(
@@ -70,11 +70,7 @@
                 takes_calls=lambda: True,
             )
         )
-        server.announce(
-            backend.Announcement(
-                "i-1", "ledger", _ADDRESS, slots, False, 1, 1, 0.0
-            )
-        )
+        server.announce(samples.announcement(slots=slots))
         self._serving.on_server_change()
 
     def submit(self, name):
