Put no older configuration in force at a start than others have

Callers saw: a key that was withdrawn passed at a daemon that was restarted as the store came back from an older copy, until that daemon had heard of the newer configuration.

All other daemons know the newer version; the restart forgets it, and the store's listing was believed before any of them had been heard.

Change: the store's configuration is held at a start until two other daemons (or the only one) have said which version they have, and the newest of these has arrived; for a second at most, since an older configuration serves callers better than none. `inquiry.py` takes from `serverterms.py` who has answered, so the stored state of the backend server and the configuration wait for the same.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -22,10 +22,12 @@
 from savorybend.relay import catalog
 from savorybend.relay import counters
 from savorybend.relay import directory
+from savorybend.relay import firstconfiguration
 from savorybend.relay import fleet
 from savorybend.relay import fleetmetrics
 from savorybend.relay import forwarding
 from savorybend.relay import ingress
+from savorybend.relay import inquiry
 from savorybend.relay import loadbalancer
 from savorybend.relay import logs
 from savorybend.relay import outcomes
@@ -120,6 +122,9 @@
         self._counters.include(adapter.traffic)
         self._catalog = catalog.create_catalog(adapter.decode_configuration)
         self._directory = directory.create_directory(loaded_settings.name)
+        self._inquiry = inquiry.create_inquiry(
+            lambda: len(self._directory.names)
+        )
         self._server = backend.BackendServer(
             loaded_settings.backend_server_address,
             loaded_settings.announcement_interval_s,
@@ -148,7 +153,6 @@
             serverterms.Parts(
                 server=self._server,
                 clock=clock,
-                others=lambda: len(self._directory.names),
                 set_rate=self._call_queue.set_rate,
             )
         )
@@ -195,7 +199,7 @@
                 server=self._server,
                 publisher=self._publisher,
                 suspects=self._suspects,
-                wait_until_asked=self._server_terms.wait_until_asked,
+                inquiry=self._inquiry,
                 start=self._start,
             )
         )
@@ -236,7 +240,11 @@
             storeupdates.Parts(
                 own=loaded_settings.name,
                 timers=self._timers,
-                catalog=self._catalog,
+                configuration=firstconfiguration.create_first_configuration(
+                    firstconfiguration.Parts(
+                        self._catalog, self._inquiry, self._timers
+                    )
+                ),
                 directory=self._directory,
                 fleet=self._fleet,
                 publisher=self._publisher,
@@ -269,6 +277,7 @@
                 feed=self._feed,
                 watchers=self._watchers,
                 server_terms=self._server_terms,
+                inquiry=self._inquiry,
                 on_follower=lambda: self._store_watch.note_follower(),
             )
         )
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -13,6 +13,7 @@
 from savorybend.relay import configurationfetch
 from savorybend.relay import directory
 from savorybend.relay import frames
+from savorybend.relay import inquiry
 from savorybend.relay import lender
 from savorybend.relay import lenderchoice
 from savorybend.relay import links
@@ -60,6 +61,7 @@
         feed: Receives and sends records.
         watchers: Receives what daemons say of their watches.
         server_terms: Receives what others know of the backend server.
+        inquiry: Notes which others have said what they know.
         on_follower: Called when a daemon requests records.
     """
 
@@ -70,6 +72,7 @@
     feed: recordfeed.RecordFeed
     watchers: watchers.Watchers
     server_terms: serverterms.ServerTerms
+    inquiry: inquiry.Inquiry
     on_follower: collections.abc.Callable[[], None]
 
 
@@ -258,9 +261,12 @@
             departure.instance, departure.born_ms, leaving=True
         )
 
-    def on_terms(self, terms: outcomes.Terms | None, source: str) -> None:
-        """Applies what a peer knows of this daemon's backend server."""
-        self._consumers.server_terms.note_asked(source, terms)
+    def on_hello(self, hello: frames.Hello) -> None:
+        """Applies what a peer knows from before this daemon's start."""
+        name = hello.statement.daemon
+        if hello.terms is not None:
+            self._consumers.server_terms.note_told(name, hello.terms)
+        self._consumers.inquiry.note(name, hello.version)
 
     def on_control_message(
         self,
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -74,8 +74,8 @@
     def terms_of(self, daemon: str) -> outcomes.Terms | None:
         """Returns what is known of a daemon's backend server."""
 
-    def on_terms(self, terms: outcomes.Terms | None, source: str) -> None:
-        """Handles what a peer knows of this daemon's backend server."""
+    def on_hello(self, hello: frames.Hello) -> None:
+        """Handles what a peer says first; before anything else of it."""
 
     def on_feed(self, link: "Link", feed: frames.Feed | None) -> None:
         """Handles what a peer says of its copy of the records."""
@@ -375,7 +375,7 @@
         self._last_failure_s = None
         self._backoff_s = _MIN_BACKOFF_S
         self._handshake_done = True
-        self._parts.events.on_terms(message.terms, self.daemon)
+        self._parts.events.on_hello(message)
         self._parts.events.on_statement(message.statement, self.daemon)
         self._parts.events.on_version(self, message.version)
         self._parts.events.on_feed(self, message.feed)
--- a/src/savorybend/relay/ownrecord.py
+++ b/src/savorybend/relay/ownrecord.py
@@ -9,6 +9,7 @@
 from savorybend.internal import errors
 from savorybend.internal import sentinels
 from savorybend.relay import backend
+from savorybend.relay import inquiry
 from savorybend.relay import ownstatement
 from savorybend.relay import presence
 from savorybend.relay import suspects
@@ -29,8 +30,7 @@
         server: This daemon's backend server.
         publisher: Writes the record.
         suspects: Requests that crash backend servers.
-        wait_until_asked: Waits until other daemons have said whether they know
-            of the backend server's departure.
+        inquiry: What the other daemons have said since this one's start.
         start: Starts a coroutine on the event loop.
     """
 
@@ -38,9 +38,7 @@
     server: backend.BackendServer
     publisher: presence.Publisher
     suspects: suspects.Suspects
-    wait_until_asked: collections.abc.Callable[
-        [], collections.abc.Awaitable[None]
-    ]
+    inquiry: inquiry.Inquiry
     start: collections.abc.Callable[[collections.abc.Coroutine], None]
 
 
@@ -67,7 +65,7 @@
         if parts.server.can_restore:
             # The store may have come back from a copy in which a backend server
             # that has left is still ready.
-            await parts.wait_until_asked()
+            await parts.inquiry.wait()
             parts.server.restore()
         if parts.server.current is None:
             # Its announcement usually arrives soon; waiting for it saves a
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -105,7 +105,7 @@
     def _on_hello(self, stream: streams.Stream, message: frames.Hello) -> None:
         name = message.statement.daemon
         # Before the connection is known: a change is announced on all others.
-        self._parts.events.on_terms(message.terms, name)
+        self._parts.events.on_hello(message)
         old = self._streams.get(name)
         stream.peer = name
         own = self._parts.own
--- a/src/savorybend/relay/serverterms.py
+++ b/src/savorybend/relay/serverterms.py
@@ -5,7 +5,6 @@
 condition if its request was sent after the condition was read.
 """
 
-import asyncio
 import collections.abc
 import math
 import typing
@@ -19,9 +18,6 @@
 
 # Invalid limits are logged at most this often.
 _INVALID_LOG_INTERVAL_S = 10.0
-# Daemons to hear from before a stored state is believed; one alone may have
-# restarted as well.
-_MIN_ASKED = 2
 
 _log = structlog.get_logger()
 
@@ -44,14 +40,12 @@
     Attributes:
         server: State of the backend server.
         clock: The clock.
-        others: Returns how many other daemons are known.
         set_rate: Called with the requests per second that may be sent to it;
             infinite for any number.
     """
 
     server: backend.BackendServer
     clock: timers.Clock
-    others: collections.abc.Callable[[], int]
     set_rate: collections.abc.Callable[[float], None]
 
 
@@ -68,8 +62,6 @@
         # Whether the backend server itself has answered this daemon.
         self._answered = False
         self._told: outcomes.Terms | None = None
-        self._asked: set[str] = set()
-        self._enough_asked = asyncio.Event()
         self._last_invalid_log_s = -math.inf
 
     @property
@@ -106,25 +98,6 @@
             self._leaving = True
             self._parts.server.depart(self._identity, "said so in an answer")
 
-    async def wait_until_asked(self) -> None:
-        """Waits until enough other daemons have said what they know."""
-        await self._enough_asked.wait()
-
-    def note_asked(self, source: str, terms: outcomes.Terms | None) -> None:
-        """Applies what another daemon knows from before this one's start.
-
-        Args:
-            source: The other daemon's name.
-            terms: What it knows; None if it knows nothing.
-        """
-        if terms is not None:
-            self._note_told(source, terms)
-        if self._enough_asked.is_set():
-            return
-        self._asked.add(source)
-        if len(self._asked) >= min(_MIN_ASKED, self._parts.others()):
-            self._enough_asked.set()
-
     def on_server_change(self) -> None:
         """Forgets the conditions of an earlier backend server."""
         identity = self._parts.server.identity
@@ -138,7 +111,13 @@
         self._answered = False
         self._apply_told()
 
-    def _note_told(self, source: str, terms: outcomes.Terms) -> None:
+    def note_told(self, source: str, terms: outcomes.Terms) -> None:
+        """Applies what another daemon knows from before this one's start.
+
+        Args:
+            source: The other daemon's name.
+            terms: What it knows.
+        """
         told = self._told
         if told == terms or (told and told.born_ms > terms.born_ms):
             return
--- a/src/savorybend/relay/storeupdates.py
+++ b/src/savorybend/relay/storeupdates.py
@@ -7,8 +7,8 @@
 
 from savorybend.internal import errors
 from savorybend.internal import timers
-from savorybend.relay import catalog
 from savorybend.relay import directory
+from savorybend.relay import firstconfiguration
 from savorybend.relay import fleet
 from savorybend.relay import presence
 from savorybend.relay import store
@@ -29,7 +29,7 @@
     Attributes:
         own: This daemon's name.
         timers: Timers.
-        catalog: The configuration in force.
+        configuration: Receives stored configurations.
         directory: The other daemons' statements.
         fleet: The links to the other daemons.
         publisher: Writes this daemon's own record.
@@ -41,7 +41,7 @@
 
     own: str
     timers: timers.TimerService
-    catalog: catalog.Catalog
+    configuration: firstconfiguration.FirstConfiguration
     directory: directory.Directory
     fleet: fleet.Fleet
     publisher: presence.Publisher
@@ -62,7 +62,7 @@
         """Handles listed or changed configurations."""
         for stored_object in listing.objects:
             if stored_object.value != _NULL_DOCUMENT:
-                self._parts.catalog.offer(stored_object.value, "store")
+                self._parts.configuration.offer(stored_object.value)
 
     def on_daemon_hints(self, listing: store.Listing) -> None:
         """Learns daemons from records that may be out of date."""
--- a/tests/platform/test_older_copy.py
+++ b/tests/platform/test_older_copy.py
@@ -51,6 +51,13 @@
     await fleet.until(known)
 
 
+async def _in_force(fleet, version):
+    """Returns whether all daemons have a version of the configuration."""
+    name = "savorybend_configuration_version"
+    found = [await machine.metric(name) for machine in fleet.machines]
+    return found == [version] * len(found)
+
+
 async def _ran_at(fleet, worker, count=12):
     """Returns how many of some calls a backend server ran."""
     before = len(worker.ran)
@@ -147,20 +154,33 @@
 ):
     fleet.store.take_copy()
     await fleet.submit(version=9, keys=["another"])
-
-    async def in_force(version):
-        name = "savorybend_configuration_version"
-        found = [await machine.metric(name) for machine in fleet.machines]
-        return found == [version] * len(found)
-
-    await fleet.until(lambda: in_force(9))
+    await fleet.until(lambda: _in_force(fleet, 9))
     await _return(fleet)
     await _all_know_the_era(fleet)
     for machine in fleet.machines:
         status, _, _ = await fleet.call(machine, "/reads/x")
         assert status == 401
     await fleet.submit(version=10, keys=["another"])
-    await fleet.until(lambda: in_force(10))
+    await fleet.until(lambda: _in_force(fleet, 10))
+
+
+@pytest.mark.parametrize("restarts", [1, 2])
+async def test_a_withdrawn_key_opens_nothing_after_a_restart_and_a_return(
+    fleet, restarts
+):
+    machine = fleet.machines[0]
+    fleet.store.take_copy()
+    await fleet.submit(version=9, keys=["another"])
+    await fleet.until(lambda: _in_force(fleet, 9))
+    for _ in range(restarts):
+        machine.signal(signal.SIGKILL)
+        await machine.ended()
+        await fleet.store.return_to_copy()
+        await machine.start_daemon()
+        await fleet.until(machine.ready)
+        found = [await fleet.call(machine, "/reads/x") for _ in range(20)]
+        assert {status for status, _, _ in found} == {401}
+    assert await _in_force(fleet, 9)
 
 
 async def test_a_daemon_that_starts_as_the_store_returns_is_known(fleet):
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -64,6 +64,19 @@
     return frames.Statement(**{**fields, **changes})
 
 
+def decode_configuration(document):
+    """Returns an empty configuration; its first word is the version."""
+    return calls.Configuration(
+        version=int(document.split()[0]),
+        routes={},
+        accounts={},
+        keys={},
+        max_connections={},
+        limits=calls.CallerLimits(),
+        document=document,
+    )
+
+
 def announcement(**changes):
     """Returns an announcement by a ready backend server, with some changes."""
     fields = {
--- a/tests/relay/test_configurationfetch.py
+++ b/tests/relay/test_configurationfetch.py
@@ -1,26 +1,14 @@
 """Configurations are fetched nearby, packed, and never trusted blindly."""
 
-from savorybend.relay import calls
 from savorybend.relay import catalog
 from savorybend.relay import configurationfetch
 from savorybend.relay import frames
 from tests import fakes
-
-
-def _decode(document):
-    return calls.Configuration(
-        version=int(document.split()[0]),
-        routes={},
-        accounts={},
-        keys={},
-        max_connections={},
-        limits=calls.CallerLimits(),
-        document=document,
-    )
+from tests.relay import samples
 
 
 def _catalog(version=None):
-    found = catalog.create_catalog(_decode)
+    found = catalog.create_catalog(samples.decode_configuration)
     if version is not None:
         found.offer(b"%d " % version + b"route " * 1000, "test")
     return found
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -36,7 +36,7 @@
     def terms_of(self, daemon):
         return None
 
-    def on_terms(self, terms, source):
+    def on_hello(self, hello):
         pass
 
     def on_feed(self, link, feed):
--- a/tests/relay/test_ownrecord.py
+++ b/tests/relay/test_ownrecord.py
@@ -48,7 +48,7 @@
                 server=self.server,
                 publisher=_Publisher(state),
                 suspects=types.SimpleNamespace(stored=()),
-                wait_until_asked=self.asked.wait,
+                inquiry=self.asked,
                 start=lambda work: work.close(),
             )
         )
--- a/tests/relay/test_serverterms.py
+++ b/tests/relay/test_serverterms.py
@@ -1,6 +1,5 @@
 """Tests of the conditions that a backend server names in its responses."""
 
-import asyncio
 import math
 
 import pytest
@@ -26,9 +25,7 @@
             samples.BACKEND_ADDRESS, 1.0, self.clock, lambda: None
         )
         self.terms = serverterms.create_server_terms(
-            serverterms.Parts(
-                self.server, self.clock, lambda: 5, self._set_rate
-            )
+            serverterms.Parts(self.server, self.clock, self._set_rate)
         )
         self.announce("i-1", 1)
         self.clock.advance(1.0)
@@ -126,19 +123,19 @@
 
 def test_a_limit_told_by_others_holds_until_the_server_answers():
     harness = _Harness()
-    harness.terms.note_asked("vm-2", _TOLD_LIMIT)
+    harness.terms.note_told("vm-2", _TOLD_LIMIT)
     assert harness.rate_per_s == 10.0
     harness.clock.advance(1.0)
     harness.answer(conditions.Unlimited())
     assert harness.rate_per_s == math.inf
-    harness.terms.note_asked("vm-3", outcomes.Terms("i-1", 1, 5.0))
+    harness.terms.note_told("vm-3", outcomes.Terms("i-1", 1, 5.0))
     assert harness.rate_per_s == math.inf
 
 
 def test_terms_told_before_the_server_is_known_hold_once_it_is():
     harness = _Harness()
     limited = outcomes.Terms("i-2", 2, 10.0)
-    harness.terms.note_asked("vm-2", limited)
+    harness.terms.note_told("vm-2", limited)
     assert harness.rate_per_s == math.inf
     harness.announce("i-2", 2)
     assert harness.rate_per_s == 10.0
@@ -147,7 +144,7 @@
 def test_a_departure_told_by_others_holds_for_that_start_of_the_server():
     harness = _Harness()
     left = outcomes.Terms("i-2", 2, leaving=True)
-    harness.terms.note_asked("vm-2", left)
+    harness.terms.note_told("vm-2", left)
     assert harness.server.state == directory.READY
     harness.announce("i-2", 2)
     assert harness.server.state == directory.DRAINING
@@ -158,18 +155,7 @@
 def test_a_told_departure_holds_when_another_tells_only_a_limit():
     harness = _Harness()
     left = outcomes.Terms("i-1", 1, leaving=True)
-    harness.terms.note_asked("vm-2", left)
-    harness.terms.note_asked("vm-3", _TOLD_LIMIT)
+    harness.terms.note_told("vm-2", left)
+    harness.terms.note_told("vm-3", _TOLD_LIMIT)
     assert harness.terms.leaving
     assert harness.rate_per_s == 10.0
-
-
-async def test_a_stored_state_is_believed_once_two_others_were_heard():
-    harness = _Harness()
-    waiting = asyncio.create_task(harness.terms.wait_until_asked())
-    harness.terms.note_asked("vm-2", None)
-    harness.terms.note_asked("vm-2", None)
-    await asyncio.sleep(0)
-    assert not waiting.done()
-    harness.terms.note_asked("vm-3", None)
-    await waiting
