Test that a held request stays held over restarts and returns of the store

Every daemon is killed and started in turn as the store comes back from a copy that has no report of the request.

--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -109,6 +109,22 @@
     assert attacked.crashes - before <= _MOST_SENT_LATER
 
 
+async def test_daemons_started_as_the_store_returns_send_no_crashing_request_on(
+    attacked,
+):
+    attacked.fleet.store.take_copy()
+    await attacked.hold()
+    before = attacked.crashes
+    for machine in attacked.fleet.machines:
+        machine.signal(signal.SIGKILL)
+        await machine.ended()
+        await attacked.fleet.store.return_to_copy()
+        await machine.start_daemon()
+        await attacked.ready()
+        await attacked.crashes_of(rounds=1)
+    assert attacked.crashes - before <= _MOST_SENT_LATER
+
+
 async def test_frozen_daemons_send_no_crashing_request_on(attacked):
     frozen = attacked.fleet.machines[2:]
     for machine in frozen:
