Announce a configuration that was held back once it is in force

Change: `FirstConfiguration` announces what it puts in force. The check in test_firstconfiguration.py fails without it (it isn't told).

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -242,7 +242,10 @@
                 timers=self._timers,
                 configuration=firstconfiguration.create_first_configuration(
                     firstconfiguration.Parts(
-                        self._catalog, self._inquiry, self._timers
+                        catalog=self._catalog,
+                        inquiry=self._inquiry,
+                        timers=self._timers,
+                        announce=lambda: self._peer_server.announce(),
                     )
                 ),
                 directory=self._directory,
@@ -351,7 +354,7 @@
                 replica=self._replica,
                 others=lambda: self._directory.names,
                 on_hint=self._store_updates.on_daemon_hints,
-                on_configurations=self._on_configurations,
+                on_configurations=self._store_updates.on_configurations,
                 follow=self._fleet.follow,
                 announce=self._peer_server.announce,
                 registered=lambda: self._publisher.up_to_date,
@@ -397,13 +400,6 @@
         known = {statement.daemon for statement in self._directory.all()}
         return (known | set(self._replica.names)) - {self._settings.name}
 
-    def _on_configurations(self, listing: store.Listing) -> None:
-        before = self._catalog.version
-        self._store_updates.on_configurations(listing)
-        if self._catalog.version != before:
-            # Followers fetch a newer version as soon as they hear of it.
-            self._peer_server.announce()
-
     def _create_announcing(self) -> announcing.Announcing:
         return announcing.create_announcing(
             announcing.Parts(self._server, self._publisher, self._start)
--- a/src/savorybend/relay/firstconfiguration.py
+++ b/src/savorybend/relay/firstconfiguration.py
@@ -4,6 +4,7 @@
 one that the other daemons have.
 """
 
+import collections.abc
 import typing
 
 import structlog
@@ -25,11 +26,14 @@
         catalog: The configuration in force.
         inquiry: What the other daemons have said since this one's start.
         timers: Timers.
+        announce: Tells the connected daemons of a newer version; they fetch it
+            as soon as they hear of it.
     """
 
     catalog: catalog.Catalog
     inquiry: inquiry.Inquiry
     timers: timers.TimerService
+    announce: collections.abc.Callable[[], None]
 
 
 class FirstConfiguration:
@@ -79,8 +83,11 @@
     def _release(self) -> None:
         self._released = True
         held, self._held = self._held, []
+        before = self._parts.catalog.version
         for document in held:
             self._parts.catalog.offer(document, "store")
+        if self._parts.catalog.version != before:
+            self._parts.announce()
 
 
 def create_first_configuration(parts: Parts) -> FirstConfiguration:
--- a/tests/relay/test_firstconfiguration.py
+++ b/tests/relay/test_firstconfiguration.py
@@ -16,9 +16,15 @@
         self._clock = fakes.create_clock()
         self._timers = samples.timer_service(self._clock)
         self.catalog = catalog.create_catalog(samples.decode_configuration)
+        self.announced = []
         self.inquiry = inquiry.create_inquiry(lambda: others)
         self._configuration = firstconfiguration.create_first_configuration(
-            firstconfiguration.Parts(self.catalog, self.inquiry, self._timers)
+            firstconfiguration.Parts(
+                catalog=self.catalog,
+                inquiry=self.inquiry,
+                timers=self._timers,
+                announce=lambda: self.announced.append(self.catalog.version),
+            )
         )
 
     def store_has(self, version):
@@ -50,6 +56,7 @@
     assert start.catalog.version == 1
     start.inquiry.note("vm-3", 1)
     assert start.catalog.version == 2
+    assert start.announced == [2]
 
 
 def test_without_other_daemons_the_stored_configuration_is_in_force_at_once():
