Treat this daemon's own limited server as limited when choosing

Callers saw: nothing measured; found by reading. A call that had met the limit of the server beside its own daemon was sent on to other limited servers while one without a limit had room, and its three tries could end there.

Cause: whether a server is limited was looked up in the loads that other daemons report; this daemon's own load isn't among them.

Change: a candidate carries its load, fetched once. The new test in test_loadbalancer.py failed before.

--- a/src/savorybend/relay/loadbalancer.py
+++ b/src/savorybend/relay/loadbalancer.py
@@ -83,12 +83,19 @@
         near: Whether it is in this daemon's data centre.
         slots: Number of slots that its backend server announced.
         own: Whether it is this daemon itself.
+        load: Load of its backend server; None if it hasn't reported any.
     """
 
     daemon: str
     near: bool
     slots: int
     own: bool
+    load: outcomes.Load | None
+
+    @property
+    def rate_limited(self) -> bool:
+        """Whether its backend server is known to have named a limit."""
+        return self.load is not None and self.load.rate_limited
 
 
 class Reachability(typing.Protocol):
@@ -195,9 +202,10 @@
             call: The call.
             tried: Names of daemons that it was already sent to.
         """
+        all_candidates = self._candidates(call)
         candidates = [
             candidate
-            for candidate in self._candidates(call)
+            for candidate in all_candidates
             if candidate.daemon not in tried
         ]
         if not candidates:
@@ -208,7 +216,9 @@
             for candidate in candidates
             if self._eligible(candidate, now_s)
         ]
-        pool = self._without_limit(eligible or candidates, tried)
+        pool = eligible or candidates
+        if tried and _has_met_limit(all_candidates, tried):
+            pool = _without_limit(pool)
         near = [
             candidate
             for candidate in pool
@@ -244,39 +254,26 @@
         return any(
             self._eligible(candidate, now_s)
             for candidate in self._candidates(call)
-            if candidate.daemon not in tried
-            and not self._rate_limited(candidate.daemon)
+            if candidate.daemon not in tried and not candidate.rate_limited
         )
 
-    def _without_limit(
-        self,
-        pool: list[Candidate],
-        tried: collections.abc.Collection[str],
-    ) -> list[Candidate]:
-        """Leaves out rate-limited servers if one was tried and others remain.
-
-        A call may be sent to a few daemons only, and the limits of one
-        service's servers are often used up together.
-        """
-        if not any(self._rate_limited(daemon) for daemon in tried):
-            return pool
-        others = [one for one in pool if not self._rate_limited(one.daemon)]
-        return others or pool
-
-    def _rate_limited(self, daemon: str) -> bool:
-        load = self._state(daemon).load
-        return load is not None and load.rate_limited
-
     def _candidates(self, call: calls.Call) -> list[Candidate]:
         own = self._own()
         found = []
         if own.service == call.service and own.state == directory.READY:
-            found.append(Candidate(own.daemon, True, own.slots, True))
+            found.append(
+                Candidate(own.daemon, True, own.slots, True, self._own_load())
+            )
         for statement in self._directory.of_service(call.service):
             if statement.state == directory.READY:
-                near = statement.data_centre == own.data_centre
                 found.append(
-                    Candidate(statement.daemon, near, statement.slots, False)
+                    Candidate(
+                        statement.daemon,
+                        statement.data_centre == own.data_centre,
+                        statement.slots,
+                        False,
+                        self._state(statement.daemon).load,
+                    )
                 )
         return found
 
@@ -291,40 +288,30 @@
         return now_s - state.last_dispatch_s > _FAILING_RETRY_INTERVAL_S
 
     def _has_capacity(self, candidate: Candidate) -> bool:
-        load = self._load(candidate)
-        slots = load.limit if load and load.rate_limited else candidate.slots
+        slots = candidate.slots
+        if candidate.rate_limited:
+            slots = candidate.load.limit
         return self._outstanding_calls(candidate) < _MAX_UTILIZATION * max(
             1, slots
         )
 
     def _outstanding_calls(self, candidate: Candidate) -> int:
-        state = self._state(candidate.daemon)
+        load = candidate.load
         if candidate.own:
-            load = self._own_load()
             return load.running + load.waiting
-        if state.load is None:
+        state = self._state(candidate.daemon)
+        if load is None:
             return state.in_flight
-        reported = (
-            state.load.running
-            + state.load.waiting
-            + state.dispatched_since_load
-        )
+        reported = load.running + load.waiting + state.dispatched_since_load
         return max(reported, state.in_flight)
 
-    def _load(self, candidate: Candidate) -> outcomes.Load | None:
-        return (
-            self._own_load()
-            if candidate.own
-            else self._state(candidate.daemon).load
-        )
-
     def _min_mean_s(self, pool: list[Candidate]) -> float:
         """Returns the smallest known mean time of a call, in seconds.
 
         Callers use it for backend servers without a known mean, so that those
         which have just joined, or had no call for a while, are tried.
         """
-        loads = [self._load(candidate) for candidate in pool]
+        loads = [candidate.load for candidate in pool]
         known = [load.mean_s for load in loads if load and load.mean_s]
         return min(known, default=_DEFAULT_MEAN_S)
 
@@ -332,7 +319,7 @@
         self, candidate: Candidate, min_mean_s: float, remote_factor: float
     ) -> float:
         state = self._state(candidate.daemon)
-        load = self._load(candidate)
+        load = candidate.load
         mean_s = (load and load.mean_s) or min_mean_s
         limit = max(1, load.limit if load and load.limit else candidate.slots)
         utilization = (self._outstanding_calls(candidate) + 1) / limit
@@ -358,6 +345,22 @@
         return state
 
 
+def _has_met_limit(
+    candidates: list[Candidate], tried: collections.abc.Collection[str]
+) -> bool:
+    """Returns whether a call was sent to a rate-limited server before."""
+    return any(one.rate_limited for one in candidates if one.daemon in tried)
+
+
+def _without_limit(pool: list[Candidate]) -> list[Candidate]:
+    """Leaves out rate-limited servers while others remain.
+
+    A call may be sent to a few daemons only, and the limits of one service's
+    servers are often used up together.
+    """
+    return [one for one in pool if not one.rate_limited] or pool
+
+
 def _full_s(refusal: outcomes.NotRun) -> float:
     longest_s = _MAX_FULL_S
     if refusal.reason == outcomes.SERVER_LIMIT:
--- a/tests/relay/test_ingress.py
+++ b/tests/relay/test_ingress.py
@@ -97,7 +97,7 @@
     def choose(self, call, tried):
         for name in self.names:
             if name not in tried:
-                return loadbalancer.Candidate(name, True, 10, False)
+                return loadbalancer.Candidate(name, True, 10, False, None)
         return loadbalancer.NO_DAEMON
 
     def share(self, service, route):
--- a/tests/relay/test_loadbalancer.py
+++ b/tests/relay/test_loadbalancer.py
@@ -31,13 +31,14 @@
             self.known.learn(statement, "test")
         self.reach = _Reach()
         self.own = samples.statement("me", service="shop")
+        self.own_load = _load(0)
         self.balancer = loadbalancer.LoadBalancer(
             lambda: self.own,
             self.known,
             self.reach,
             self.clock,
             random.Random(1),
-            lambda: _load(0),
+            lambda: self.own_load,
         )
 
     def choose(self, tried=(), **changes):
@@ -254,3 +255,14 @@
     assert harness.choose(tried=["a"]) == "c"
     assert harness.balancer.has_unlimited(samples.call(), ["a"])
     assert not harness.balancer.has_unlimited(samples.call(), ["a", "c"])
+
+
+def test_a_call_that_met_the_own_limit_goes_to_a_server_without_one():
+    harness = _Harness([samples.statement("a"), samples.statement("b")])
+    harness.own = samples.statement("me")
+    harness.own_load = _limited_load(0, 2.0, mean_s=0.01)
+    harness.balancer.update_load("a", _limited_load(0, 2.0, mean_s=0.01))
+    harness.balancer.update_load("b", _load(5, mean_s=0.2))
+    assert harness.counts(20, tried=["me"]) == {"b": 20}
+    harness.known.learn(samples.statement("b", serial=2, state="lost"), "test")
+    assert not harness.balancer.has_unlimited(samples.call(), ["a"])
