Wait until thawed daemons are reached before counting calls

Trace: `call_refused ... reason=daemon-unreachable asked=vm-2,vm-1 retry_after_s=0.099`. The restarted daemon had taken the frozen ones for unreachable and was waiting to connect again, at most 1 s; it refused before any run, with a Retry-After after which the call succeeds. That is what a daemon says whose peers were frozen a moment ago; the test is of the server that left.

--- a/tests/platform/test_older_copy.py
+++ b/tests/platform/test_older_copy.py
@@ -132,6 +132,12 @@
     for other in others:
         other.signal(signal.SIGCONT)
     await _all_know_the_era(fleet)
+
+    async def reached():
+        status, _, _ = await fleet.call(machine, "/reads/x", "reached")
+        return status == 200
+
+    await fleet.until(reached)
     assert await _ran_at(fleet, machine.worker, 60) == 0
     assert len(machine.worker.arrivals) == before
 
