--- a/tests/relay/test_serverterms.py
+++ b/tests/relay/test_serverterms.py
@@ -89,7 +89,7 @@
     ("values", "expected"),
     [
         ([], conditions.Unlimited()),
-        ([b"16.3"], conditions.Limited(16.3)),
+        ([b"12.5"], conditions.Limited(12.5)),
         ([b"0"], conditions.Limited(0.0)),
         ([b"8", b"3"], conditions.Limited(3.0)),
         ([b"-1"], conditions.Invalid(b"-1")),
