Move listening, reloading and following the store out of the assembly

Cause: the constructor of `relay/assembly.py` was 240 lines long, and the module 580, with the sockets, the probes, the reload of settings and the six components that follow the store among the rest. Change: `listening.py` has the sockets and the probes, `reloading.py` the settings, `storeaccess.py` the watchers, the copy of the records, its updates and the removal of ended daemons' records. The daemon's own name and data centre are those of its start also after a reload; before, the assembly compared names with the reloaded ones and all others with those of the start.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -9,7 +9,6 @@
 
 import structlog
 
-from savorybend.internal import errors
 from savorybend.internal import timers
 from savorybend.relay import admission
 from savorybend.relay import allowance
@@ -17,17 +16,16 @@
 from savorybend.relay import backend
 from savorybend.relay import callers
 from savorybend.relay import callqueue
-from savorybend.relay import calls
 from savorybend.relay import capacity
 from savorybend.relay import catalog
 from savorybend.relay import counters
 from savorybend.relay import directory
-from savorybend.relay import firstconfiguration
 from savorybend.relay import fleet
 from savorybend.relay import fleetmetrics
 from savorybend.relay import forwarding
 from savorybend.relay import ingress
 from savorybend.relay import inquiry
+from savorybend.relay import listening
 from savorybend.relay import loadbalancer
 from savorybend.relay import logs
 from savorybend.relay import outcomes
@@ -35,9 +33,7 @@
 from savorybend.relay import ownstatement
 from savorybend.relay import pool
 from savorybend.relay import presence
-from savorybend.relay import reaper
-from savorybend.relay import recordfeed
-from savorybend.relay import replica
+from savorybend.relay import reloading
 from savorybend.relay import retrybudget
 from savorybend.relay import servermetrics
 from savorybend.relay import serverterms
@@ -46,26 +42,20 @@
 from savorybend.relay import shutdown
 from savorybend.relay import splitting
 from savorybend.relay import store
-from savorybend.relay import storeupdates
-from savorybend.relay import storewatch
+from savorybend.relay import storeaccess
 from savorybend.relay import suspects
 from savorybend.relay import traffic
 from savorybend.relay import watchdog
-from savorybend.relay import watchers
 
 _TICK_INTERVAL_S = 0.1
 _SLOW_TICK_INTERVAL_S = 1.0
 _RELOAD_SLOW_TICKS = 5
 _LOG_FLUSH_INTERVAL_S = 0.1
-_LISTEN_BACKLOG = 1024
 # Share of the descriptors for callers; the rest is for the backend server,
 # peers and files.
 _CALLER_DESCRIPTOR_FRACTION = 0.5
 # Net allocations between two runs of the cyclic garbage collector.
 _GC_THRESHOLD = 5_000
-_METRICS_PATH = b"/metrics"
-_OK = 200
-_UNAVAILABLE = 503
 # Each daemon uses this fraction of the fleet's retry ratio, since the calls
 # made by a retried request count as retries where they arrive as well.
 _RETRY_RATIO_FRACTION = 0.1
@@ -113,7 +103,6 @@
         self._adapter = adapter
         self._sink = sink
         self._tasks: set[asyncio.Task] = set()
-        self._servers: list[asyncio.Server] = []
         self._rng = random.Random()
         self._slow_ticks = 0
         clock = timers.SystemClock()
@@ -227,42 +216,8 @@
                 clock, lambda: self._directory.size, self._fleet.ask_lender
             )
         )
-        self._watchers = watchers.create_watchers(
-            watchers.Parts(
-                own=loaded_settings.name,
-                nearby=self._nearby,
-                unreachable=self._fleet.unreachable,
-                clock=clock,
-                random_fraction=self._rng.random,
-            )
-        )
-        self._store_updates = storeupdates.create_store_updates(
-            storeupdates.Parts(
-                own=loaded_settings.name,
-                timers=self._timers,
-                configuration=firstconfiguration.create_first_configuration(
-                    firstconfiguration.Parts(
-                        catalog=self._catalog,
-                        inquiry=self._inquiry,
-                        timers=self._timers,
-                        announce=lambda: self._peer_server.announce(),
-                    )
-                ),
-                directory=self._directory,
-                fleet=self._fleet,
-                publisher=self._publisher,
-                on_lost=self._on_record_lost,
-                random_fraction=self._rng.random,
-                suspects=self._suspects,
-            )
-        )
-        self._replica = replica.create_replica(self._store_updates)
-        self._feed = recordfeed.create_record_feed(
-            recordfeed.Parts(
-                replica=self._replica,
-                push=lambda message: self._peer_server.push(message),
-            )
-        )
+        self._store_access = self._create_store_access()
+        self._feed = self._store_access.feed
         self._own_statement.set_feed(lambda: self._feed.feed)
         self._counters.include(
             fleetmetrics.create_fleet_metrics(
@@ -278,63 +233,19 @@
                 allowance=self._allowance,
                 suspects=self._suspects,
                 feed=self._feed,
-                watchers=self._watchers,
+                watchers=self._store_access.watchers,
                 server_terms=self._server_terms,
                 inquiry=self._inquiry,
-                on_follower=lambda: self._store_watch.note_follower(),
-            )
-        )
-        self._ingress = ingress.create_ingress(
-            forwarding.Parts(
-                codec=adapter.ingress,
-                catalog=self._catalog,
-                allowance=self._allowance,
-                load_balancer=self._load_balancer,
-                target=self._target,
-                budget=retrybudget.create_retry_budget(
-                    self._retry_terms(),
-                    retrybudget.Parts(
-                        clock,
-                        lambda: self._directory.size,
-                        self._rng.random,
-                    ),
-                ),
-                callees=self._callees,
-                admission=admission.create_admission(
-                    clock, self._load_balancer.share
-                ),
-                running=self._serving.running,
-                split=splitting.create_split(),
-                counters=self._counters,
-                timers=self._timers,
-                random_fraction=self._rng.random,
-                takes_calls=self._takes_calls,
+                on_follower=self._store_access.note_follower,
             )
         )
+        self._ingress = self._create_ingress()
         self._callers = callers.CallerServer(
             self._ingress.handle,
             clock,
             catalog.LiveLimits(self._catalog),
             int(loaded_settings.max_descriptors * _CALLER_DESCRIPTOR_FRACTION),
         )
-        self._announcement_connections = callers.CallerServer(
-            adapter.announcements(self._create_announcing()).handle,
-            clock,
-            calls.CallerLimits(),
-        )
-        self._probe_connections = callers.CallerServer(
-            self._on_probe, clock, calls.CallerLimits()
-        )
-        self._reaper = reaper.create_reaper(
-            reaper.Parts(
-                clock=clock,
-                names=self._recorded_names,
-                reporting=self._fleet.reporting,
-                unreachable=self._fleet.probe_unreachable,
-                client=adapter.store,
-                start=self._start,
-            )
-        )
         self._shutdown = shutdown.create_shutdown(
             shutdown.Parts(
                 callers=self._callers,
@@ -344,23 +255,10 @@
                 grace_s=loaded_settings.grace_s,
             )
         )
-
-        self._store_watch = storewatch.create_store_watch(
-            storewatch.Parts(
-                client=adapter.store,
-                rng=self._rng,
-                watchers=self._watchers,
-                feed=self._feed,
-                replica=self._replica,
-                others=lambda: self._directory.names,
-                on_hint=self._store_updates.on_daemon_hints,
-                on_configurations=self._store_updates.on_configurations,
-                follow=self._fleet.follow,
-                announce=self._peer_server.announce,
-                registered=lambda: self._publisher.up_to_date,
-                stopping=lambda: self._shutdown.begun,
-            )
+        self._reloading = reloading.create_reloading(
+            loaded_settings, adapter.reload, adapter.ingress.set_service
         )
+        self._listening = self._create_listening()
 
     async def run(self) -> None:
         """Serves until a requested shutdown is complete."""
@@ -371,34 +269,89 @@
             boot=self._own_statement.statement.boot,
         )
         self._watch_signals()
-        await self._listen()
+        await self._listening.open()
         self._start(self._own_record.take_over())
-        self._start(self._store_watch.run())
+        self._store_access.begin()
         self._timers.every(_TICK_INTERVAL_S, self._tick)
         self._timers.every(_SLOW_TICK_INTERVAL_S, self._slow_tick)
-        self._timers.every(reaper.CHECK_INTERVAL_S, self._reaper.check)
         self._timers.every(_LOG_FLUSH_INTERVAL_S, self._sink.flush)
         _reduce_garbage_collection()
         await self._shutdown.wait()
         await self._stop()
 
-    def _nearby(self) -> list[str]:
-        """Returns the names of the other daemons of this data centre."""
-        own = self._settings.data_centre
-        return [
-            statement.daemon
-            for statement in self._directory.all()
-            if statement.data_centre == own
-        ]
+    def _create_store_access(self) -> storeaccess.StoreAccess:
+        return storeaccess.create_store_access(
+            storeaccess.Parts(
+                settings=self._settings,
+                client=self._adapter.store,
+                timers=self._timers,
+                rng=self._rng,
+                catalog=self._catalog,
+                directory=self._directory,
+                fleet=self._fleet,
+                inquiry=self._inquiry,
+                publisher=self._publisher,
+                suspects=self._suspects,
+                start=self._start,
+                announce=lambda: self._peer_server.announce(),
+                push=lambda message: self._peer_server.push(message),
+                on_record_lost=self._on_record_lost,
+                stopping=lambda: self._shutdown.begun,
+            )
+        )
+
+    def _create_ingress(self) -> ingress.Ingress:
+        clock = self._timers.clock
+        return ingress.create_ingress(
+            forwarding.Parts(
+                codec=self._adapter.ingress,
+                catalog=self._catalog,
+                allowance=self._allowance,
+                load_balancer=self._load_balancer,
+                target=self._target,
+                budget=self._create_retry_budget(),
+                callees=self._callees,
+                admission=admission.create_admission(
+                    clock, self._load_balancer.share
+                ),
+                running=self._serving.running,
+                split=splitting.create_split(),
+                counters=self._counters,
+                timers=self._timers,
+                random_fraction=self._rng.random,
+                takes_calls=self._takes_calls,
+            )
+        )
 
-    def _recorded_names(self) -> set[str]:
-        """Returns the names of the other daemons that have records.
+    def _create_retry_budget(self) -> retrybudget.RetryBudget:
+        own = self._settings
+        return retrybudget.create_retry_budget(
+            retrybudget.Terms(
+                per_call=own.retry_ratio * _RETRY_RATIO_FRACTION,
+                reserve=_RETRY_RESERVE,
+                fleet_reserve=own.retry_slack * _RETRY_SLACK_FRACTION,
+                window_s=own.retry_window_s,
+            ),
+            retrybudget.Parts(
+                self._timers.clock,
+                lambda: self._directory.size,
+                self._rng.random,
+            ),
+        )
 
-        Among them may be one that left: a store that comes back from an older
-        copy has its record again.
-        """
-        known = {statement.daemon for statement in self._directory.all()}
-        return (known | set(self._replica.names)) - {self._settings.name}
+    def _create_listening(self) -> listening.Listening:
+        announcements = self._adapter.announcements(self._create_announcing())
+        return listening.create_listening(
+            listening.Parts(
+                settings=self._settings,
+                clock=self._timers.clock,
+                callers=self._callers.create,
+                peers=self._peer_server.create,
+                on_announcement=announcements.handle,
+                counters=self._counters,
+                ready=self._ready,
+            )
+        )
 
     def _create_announcing(self) -> announcing.Announcing:
         return announcing.create_announcing(
@@ -416,14 +369,6 @@
             return outcomes.Share(admission.FULL_SHARE, service)
         return self._load_balancer.share(service, route)
 
-    def _retry_terms(self) -> retrybudget.Terms:
-        return retrybudget.Terms(
-            per_call=self._settings.retry_ratio * _RETRY_RATIO_FRACTION,
-            reserve=_RETRY_RESERVE,
-            fleet_reserve=(self._settings.retry_slack * _RETRY_SLACK_FRACTION),
-            window_s=self._settings.retry_window_s,
-        )
-
     def _takes_calls(self) -> bool:
         return self._shutdown.takes_calls
 
@@ -433,38 +378,11 @@
     def _busy(self) -> int:
         return self._callers.busy + self._peer_server.busy + self._serving.busy
 
-    async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
-        loaded_settings = self._settings
-        listeners = [
-            (self._callers.create, loaded_settings.call_address),
-            (
-                self._announcement_connections.create,
-                loaded_settings.announcement_address,
-            ),
-            (self._probe_connections.create, loaded_settings.ready_address),
-            (
-                self._peer_server.create,
-                settings.Address(
-                    loaded_settings.host, loaded_settings.peer_port
-                ),
-            ),
-        ]
-        for create, address in listeners:
-            self._servers.append(
-                await loop.create_server(
-                    create,
-                    *address,
-                    backlog=_LISTEN_BACKLOG,
-                    reuse_address=True,
-                )
-            )
-
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._on_term)
         loop.add_signal_handler(signal.SIGINT, self._on_term)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reloading.reload)
 
     def _on_server_change(self) -> None:
         self._server_terms.on_server_change()
@@ -482,12 +400,6 @@
     def _store_suspects(self) -> None:
         self._own_record.publish()
 
-    def _on_probe(self, exchange: callers.Exchange) -> None:
-        if exchange.target.startswith(_METRICS_PATH):
-            exchange.reply(_OK, b"", self._counters.render())
-            return
-        exchange.reply(_OK if self._ready() else _UNAVAILABLE, b"", b"")
-
     def _ready(self) -> bool:
         return bool(self._catalog.current) and not self._shutdown.begun
 
@@ -501,28 +413,6 @@
         self._peer_server.announce()
         self._own_record.publish()
 
-    def _on_reload(self) -> None:
-        try:
-            loaded_settings = self._adapter.reload()
-        except errors.InvalidSettingError as error:
-            _log.error("settings_not_reloaded", error=str(error))
-            return
-        changed = [
-            name
-            for name, before, after in zip(
-                loaded_settings._fields,
-                self._settings,
-                loaded_settings,
-                strict=True,
-            )
-            if before != after
-        ]
-        if not changed:
-            return
-        _log.info("settings_reloaded", changed=",".join(changed))
-        self._settings = loaded_settings
-        self._adapter.ingress.set_service(loaded_settings.service)
-
     def _tick(self) -> None:
         self._watchdog.tick(self._call_queue.running)
         self._serving.sweep()
@@ -533,7 +423,7 @@
         self._slow_ticks += 1
         if self._slow_ticks % _RELOAD_SLOW_TICKS == 0:
             # The settings file may change without a SIGHUP.
-            self._on_reload()
+            self._reloading.reload()
         self._callers.sweep()
         self._suspects.sweep()
         self._sink.start_interval()
@@ -549,8 +439,7 @@
             _log.error("task_failed", exc_info=task.exception())
 
     async def _stop(self) -> None:
-        for server in self._servers:
-            server.close()
+        self._listening.close()
         self._peer_server.close()
         if self._server.current is None:
             # Otherwise the record is kept: the daemon's next start must know
