Count the tokens that daemons hold toward an account's burst

Cause: the lender fills its bucket up to the whole burst, whatever tokens it has lent and daemons haven't spent. While the ingress sheds most calls of an account, daemons get tokens for half a second of what it asks for, and give those of shed calls back into a bucket that is filled up meanwhile; as the shedding ends they spend all of it in addition to a burst. Evidence: the unit simulation with 14 daemons, eight times the rate, 95% of the calls shed, then none: up to 1,110 tokens at daemons beside a burst of 400, and 3,487 calls in 5 s where 2,400 are nominal and 2,660 allowed.

--- a/src/savorybend/relay/allowance.py
+++ b/src/savorybend/relay/allowance.py
@@ -204,19 +204,13 @@
         lender counts the daemons that report.
         """
         now_s = self._clock.now_s()
-        expected = {}
-        returned = {}
+        report = frames.LoanRequest({}, {}, {}, {})
         for name, state in self._accounts.items():
-            if state.returned and now_s < state.expires_s:
-                returned[name] = state.returned
-            state.returned = 0
             rate_per_s = state.requested / REPORT_INTERVAL_S
             state.requested = 0
             state.demand += (rate_per_s - state.demand) * (1 - _DEMAND_DECAY)
-            missing = int(state.demand * _PREFETCH_S) - state.tokens
-            if missing > 0 and state.demand > _MIN_DEMAND_PER_S:
-                expected[name] = missing
-        self._ask(frames.LoanRequest({}, expected, returned))
+            _report_account(report, name, state, now_s)
+        self._ask(report)
 
     def borrow(self, loan: frames.Loan) -> None:
         """Adds the tokens of a loan to the cache and resolves waiting calls."""
@@ -306,6 +300,24 @@
     return True
 
 
+def _report_account(
+    report: frames.LoanRequest, name: str, state: _AccountState, now_s: float
+) -> None:
+    """Adds the tokens that an account has, needs and has too many of."""
+    if now_s >= state.expires_s:
+        state.tokens = state.returned = 0
+    needed = int(state.demand * _PREFETCH_S)
+    surplus = max(0, state.tokens - needed)
+    state.tokens -= surplus
+    returned, state.returned = state.returned + surplus, 0
+    if returned:
+        report.returned[name] = returned
+    if state.tokens:
+        report.held[name] = state.tokens
+    if needed > state.tokens and state.demand > _MIN_DEMAND_PER_S:
+        report.expected[name] = needed - state.tokens
+
+
 def _create_refusal(state: _AccountState, now_s: float) -> Refused:
     retry_after_s = max(_MIN_RETRY_AFTER_S, state.exhausted_until_s - now_s)
     return Refused(retry_after_s, over_limit=True)
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -223,12 +223,15 @@
     Attributes:
         wanted: Tokens for calls that are waiting.
         expected: Tokens for calls that are expected.
-        returned: Tokens given back, for calls that were refused without a run.
+        returned: Tokens given back: those of calls that were refused without a
+            run, and those that aren't needed.
+        held: Tokens at hand; only reports have it, which want none.
     """
 
     wanted: dict[str, int]
     expected: dict[str, int]
     returned: dict[str, int] = {}
+    held: dict[str, int] = {}
 
 
 class Loan(msgspec.Struct, array_like=True, tag=20):
--- a/tests/relay/test_allowance.py
+++ b/tests/relay/test_allowance.py
@@ -255,6 +255,32 @@
     assert _max_calls_in_window(admitted + split + healed) <= _bound(account)
 
 
+@hypothesis.settings(max_examples=10)
+@hypothesis.given(
+    seed=strategies.integers(0, 1000),
+    size=strategies.sampled_from([5, 14]),
+    rate=strategies.sampled_from([60.0, 400.0]),
+)
+def test_tokens_of_shed_calls_do_not_add_to_the_burst(seed, size, rate):
+    fleet = _Fleet(size)
+    account = calls.ClientAccount("a", None, rate, rate)
+    sending = (8 * rate, random.Random(seed), _any_daemon(size))
+    admitted, _ = fleet.send_calls(account, 6.0, *sending, shed=0.95)
+    more, _ = fleet.send_calls(account, 6.0, *sending)
+    assert _max_calls_in_window(admitted + more) <= _bound(account)
+
+
+def test_a_token_that_is_not_needed_is_lent_to_another_daemon():
+    fleet = _Fleet(2)
+    account = calls.ClientAccount("a", None, 1.0, 1.0)
+    rng = random.Random(1)
+    fleet.send_calls(account, 0.3, 4.0, rng, lambda _: 0)
+    fleet.daemons[0].give_back(account)
+    fleet.send_calls(account, 3.0, 0.0, rng, lambda _: 0)
+    admitted, _ = fleet.send_calls(account, 1.1, 1.0, rng, lambda _: 1)
+    assert len(admitted) == 1
+
+
 def _any_daemon(size):
     return lambda rng: rng.randrange(size)
 
