Name what the lender records of lent tokens, and what a report is

Cause: read again, `_forget` settled a bucket with a capacity of 0 to make lent tokens count as spent, a request without waiting calls was nowhere said to be a report, and `StoreAccess` had public attributes. Change: `note_spent`, properties and docstrings; no behaviour is changed.

--- a/src/savorybend/internal/entrusting.py
+++ b/src/savorybend/internal/entrusting.py
@@ -49,7 +49,7 @@
         self._last_answered = False
         self._hinted = False
         self._leaving = False
-        # Ends the wait for the time for which a silent allocator has the parts.
+        # Runs when the time of an allocator that may be lost is over.
         self._expiry: timers.Subscription | None = None
 
     def tick(self) -> None:
--- a/src/savorybend/relay/allowance.py
+++ b/src/savorybend/relay/allowance.py
@@ -198,7 +198,7 @@
             state.returned += 1
 
     def report(self) -> None:
-        """Requests tokens for expected calls.
+        """Reports the tokens at hand and requests some for expected calls.
 
         Call it every `REPORT_INTERVAL_S` seconds, also without demand: the
         lender counts the daemons that report.
@@ -303,7 +303,7 @@
 def _report_account(
     report: frames.LoanRequest, name: str, state: _AccountState, now_s: float
 ) -> None:
-    """Adds the tokens that an account has, needs and has too many of."""
+    """Adds an account to a report; gives back the tokens it doesn't need."""
     if now_s >= state.expires_s:
         state.tokens = state.returned = 0
     needed = int(state.demand * _PREFETCH_S)
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -233,7 +233,7 @@
                 allowance=self._allowance,
                 suspects=self._suspects,
                 feed=self._feed,
-                watchers=self._store_access.watchers,
+                watchers=self._store_access.store_watchers,
                 server_terms=self._server_terms,
                 inquiry=self._inquiry,
                 on_follower=self._store_access.note_follower,
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -225,7 +225,8 @@
         expected: Tokens for calls that are expected.
         returned: Tokens given back: those of calls that were refused without a
             run, and those that aren't needed.
-        held: Tokens at hand; only reports have it, which want none.
+        held: Tokens at hand; given in reports, which want none for waiting
+            calls.
     """
 
     wanted: dict[str, int]
--- a/src/savorybend/relay/lender.py
+++ b/src/savorybend/relay/lender.py
@@ -71,6 +71,10 @@
         """Records tokens that were taken for expected calls."""
         self._lent += tokens
 
+    def note_spent(self, tokens: int) -> None:
+        """Counts lent tokens as spent."""
+        self._lent = max(0, self._lent - tokens)
+
     def settle(
         self, lent: int, held: int, returned: int, capacity: float
     ) -> None:
@@ -82,7 +86,7 @@
             returned: Tokens that it gives back.
             capacity: The bucket's capacity, in tokens.
         """
-        self._lent = max(0, self._lent - lent + held)
+        self.note_spent(lent - held)
         self._add(returned, capacity)
         # They were spent before the report, when those found no room.
         spent = lent - held - returned
@@ -133,8 +137,9 @@
 
         Args:
             daemon: Name of the borrower.
-            request: The requested tokens by account; may be empty, and then
-                only counts the daemon as connected.
+            request: The requested tokens by account. One for no waiting calls
+                is a report: of the tokens that the daemon holds, and that it is
+                connected.
             accounts: The configured client accounts by name.
             size: Number of known daemons, connected or not.
         """
@@ -197,7 +202,7 @@
         for name, tokens in self._lent.pop(daemon, {}).items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                bucket.settle(tokens, 0, 0, 0.0)
+                bucket.note_spent(tokens)
 
     def _record_request(self, daemon: str, now_s: float) -> None:
         if now_s - self._last_request_s > _ACTIVE_WINDOW_S:
--- a/src/savorybend/relay/listening.py
+++ b/src/savorybend/relay/listening.py
@@ -54,7 +54,7 @@
         )
 
     async def open(self) -> None:
-        """Begins to listen on each address.
+        """Starts listening on each address.
 
         Raises:
             OSError: An address isn't free.
@@ -67,7 +67,7 @@
         await self._listen(self._parts.peers, peer_address)
 
     def close(self) -> None:
-        """Stops to listen; connections stay open."""
+        """Stops listening; open connections stay open."""
         for server in self._servers:
             server.close()
 
--- a/src/savorybend/relay/storeaccess.py
+++ b/src/savorybend/relay/storeaccess.py
@@ -62,24 +62,29 @@
 
 
 class StoreAccess:
-    """What this daemon reads in the store, itself or through other daemons.
-
-    Attributes:
-        watchers: Selects the daemons that watch the store.
-        feed: Passes records on to the daemons that don't watch it.
-    """
+    """What this daemon reads in the store, itself or through other daemons."""
 
     def __init__(self, parts: Parts):
         self._parts = parts
-        self.watchers = self._create_watchers()
+        self._watchers = self._create_watchers()
         self._updates = self._create_updates()
         self._replica = replica.create_replica(self._updates)
-        self.feed = recordfeed.create_record_feed(
+        self._feed = recordfeed.create_record_feed(
             recordfeed.Parts(replica=self._replica, push=parts.push)
         )
         self._reaper = self._create_reaper()
         self._watch = self._create_watch()
 
+    @property
+    def store_watchers(self) -> watchers.Watchers:
+        """Selects the daemons that watch the store."""
+        return self._watchers
+
+    @property
+    def feed(self) -> recordfeed.RecordFeed:
+        """Passes records on to the daemons that don't watch the store."""
+        return self._feed
+
     def begin(self) -> None:
         """Starts to read the store, and to remove records of ended daemons."""
         self._parts.start(self._watch.run())
@@ -143,8 +148,8 @@
             storewatch.Parts(
                 client=parts.client,
                 rng=parts.rng,
-                watchers=self.watchers,
-                feed=self.feed,
+                watchers=self._watchers,
+                feed=self._feed,
                 replica=self._replica,
                 others=lambda: parts.directory.names,
                 on_hint=self._updates.on_daemon_hints,
