Withdraw the key of the test while its child calls certainly run

Cause: test_a_withdrawn_key_ends_on_open_connections_and_below failed in a whole run at a load of 9 to 16 on 5 cores: the second child of the request with the withdrawn key ran. Its first child took 2 s, and the withdrawal, which starts a process of `savorybendctl`, took longer: both children were called before it. Change: the first child takes 4 s, and the test checks that it still runs once the key is refused, so a withdrawal that comes too late is told apart from a key that goes on working. What is asserted of the key is the same.

--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -13,6 +13,8 @@
 # The specified time until an accepted configuration is in force everywhere.
 _IN_FORCE_S = 3.0
 _POLL_S = 0.05
+# Makes a call take 4 s, longer than a withdrawal on a busy machine.
+_SLOW = 2000
 _SECOND = keys.from_secret("maruyama-2", "s" * 32)
 
 _WORKERS = (
@@ -59,7 +61,7 @@
         entry = site.addresses["back-1"].call
         assert (await first.call(entry, "/back")).outcome == "ran"
         # Both requests have a child at middle-1 while the key is withdrawn.
-        await site.control("middle-1", slow=1000)
+        await site.control("middle-1", slow=_SLOW)
         running = [
             asyncio.create_task(person.call(entry, "/front"))
             for person in (
@@ -71,6 +73,7 @@
             await asyncio.sleep(_POLL_S)
         await _submit(site, _SECOND)
         await _wait_refused(first, entry)
+        assert (await site.record("middle-1"))["in_use"] == len(running)
         withdrawn, kept = [json.loads((await r).body) for r in running]
         assert [c["status"] for c in withdrawn["children"]] == [200, 401]
         assert [c["status"] for c in kept["children"]] == [200, 200]
