Log and count what is wrong with a backend server's answers, and its place

An answer that is passed over leaves no trace, `answer-garbled` doesn't say what was wrong, and nothing tells what a connection carried before. Change: events with the number of the connection and the position on it for answers that are garbled, that no request waits for, or that follow such a one; for a request ID that its connection carried before; for calls that were answered after more than one try and outcomes of tries that were given up. A counter of unusable answers by cause. No answer is judged otherwise than before. Tests that drive a protocol share one recording transport.

--- a/src/savorybend/platform/headers.py
+++ b/src/savorybend/platform/headers.py
@@ -132,12 +132,17 @@
 
     def accepts(self, request_id: str, headers: http1.Headers) -> bool:
         """Returns whether a response belongs to a request."""
-        for name, value in headers:
-            if name == names.REQUEST_ID:
-                return value.decode("latin-1") == request_id
+        answered_id = self.request_id(headers)
         # A response that the backend server makes by itself may have no request
         # ID; `decode` requires one of every success.
-        return True
+        return answered_id is None or answered_id == request_id
+
+    def request_id(self, headers: http1.Headers) -> str | None:
+        """Returns the request ID of a response; None if it bears none."""
+        for name, value in headers:
+            if name == names.REQUEST_ID:
+                return value.decode("latin-1")
+        return None
 
     def decode(
         self, request_id: str, response: upstream.Response
--- a/src/savorybend/relay/forwarding.py
+++ b/src/savorybend/relay/forwarding.py
@@ -181,6 +181,7 @@
 
     def _on_outcome(self, attempt: int, outcome: outcomes.Outcome) -> None:
         if self._finished or attempt != self._attempt:
+            self._log("outcome_passed_over", outcome)
             return
         self._parts.load_balancer.record_outcome(self._daemon, outcome)
         if isinstance(outcome, outcomes.Ran):
@@ -248,6 +249,8 @@
     def _reply_last_outcome(self) -> None:
         match self._last_outcome:
             case outcomes.Ran() as ran:
+                if len(self._tried) > 1:
+                    self._log_answer(ran.status)
                 self._answer(ran.status, ran.head, ran.body, "ran")
             case outcomes.Lost(reason=reason):
                 status = _BAD_GATEWAY
@@ -328,6 +331,16 @@
             left_s=self._left_s(),
         )
 
+    def _log_answer(self, status: int) -> None:
+        _log.info(
+            "call_answered_elsewhere",
+            request_id=self._call.request_id,
+            route=self._route.name,
+            status=status,
+            asked=",".join(self._tried),
+            left_s=self._left_s(),
+        )
+
     def _log_refusal(self, reason: str, retry_after_s: float) -> None:
         _log.info(
             "call_refused",
--- a/src/savorybend/relay/logs.py
+++ b/src/savorybend/relay/logs.py
@@ -14,7 +14,18 @@
 _WRITE_BYTES = 1 << 16
 # Their number grows with the number of requests, so these are left out first.
 _REQUEST_EVENTS = frozenset(
-    {"call_refused", "call_failed", "call_turned_away", "call_sent_elsewhere"}
+    {
+        "answer_after_surplus",
+        "answer_garbled",
+        "answer_passed_over",
+        "call_answered_elsewhere",
+        "call_failed",
+        "call_refused",
+        "call_sent_elsewhere",
+        "call_turned_away",
+        "outcome_passed_over",
+        "request_id_repeated",
+    }
 )
 
 
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -4,11 +4,13 @@
 import collections.abc
 import enum
 import errno
+import itertools
 import typing
 
 import structlog
 
 from savorybend.internal import timers
+from savorybend.relay import answerlog
 from savorybend.relay import calls
 from savorybend.relay import conditions
 from savorybend.relay import http1
@@ -44,6 +46,9 @@
     def accepts(self, request_id: str, headers: http1.Headers) -> bool:
         """Returns whether a response belongs to a request."""
 
+    def request_id(self, headers: http1.Headers) -> str | None:
+        """Returns the request ID of a response; None if it bears none."""
+
     def decode(
         self, request_id: str, response: upstream.Response
     ) -> outcomes.Outcome:
@@ -108,6 +113,8 @@
         self._clock = clock
         self._tasks = tasks
         self._on_answer = on_answer
+        self._answer_log = answerlog.create_answer_log()
+        self._connection_numbers = itertools.count(1)
         self._requests_sent = 0
         self._idle: list[upstream.ServerConnection] = []
         self._open: set[upstream.ServerConnection] = set()
@@ -119,6 +126,11 @@
         """Number of requests sent since this daemon started."""
         return self._requests_sent
 
+    @property
+    def unusable_answers(self) -> collections.abc.Mapping[str, int]:
+        """Number of unusable answers by cause since this daemon started."""
+        return self._answer_log.counts
+
     @property
     def last_answer_s(self) -> float:
         """When the backend server last answered."""
@@ -187,7 +199,12 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: upstream.ServerConnection(
-                        self._on_idle, self._on_end, self._limits, self._memory
+                        self._on_idle,
+                        self._on_end,
+                        self._limits,
+                        self._memory,
+                        next(self._connection_numbers),
+                        self,
                     ),
                     *self._address,
                 )
@@ -235,11 +252,16 @@
             if dispatch.finished:
                 return
             dispatch.finished = True
-            callback(self._outcome(call, sent_s, result))
+            outcome = self._outcome(call, sent_s, result)
+            self._log_answer(connection.place, call.request_id, outcome, result)
+            callback(outcome)
 
+        if connection.carried(call.request_id):
+            self._answer_log.note_repeated(connection.place, call.request_id)
         expected = upstream.PendingRequest(
             lambda headers: self._codec.accepts(call.request_id, headers),
             on_result,
+            call.request_id,
         )
         sent_s = self._clock.now_s()
         left_s = call.deadline_s - sent_s
@@ -268,6 +290,39 @@
                 return outcomes.Lost(outcomes.GARBLED)
         return outcomes.Lost(outcomes.BACKEND_SERVER_LOST)
 
+    def on_surplus(
+        self,
+        connection: upstream.ServerConnection,
+        request_id: str,
+        cause: str,
+        response: upstream.Response,
+    ) -> None:
+        """Records a response that no request waits for."""
+        answered_id = self._codec.request_id(response.headers) or ""
+        self._answer_log.note_surplus(
+            connection.place,
+            request_id,
+            answerlog.Surplus(cause, response.status, answered_id),
+        )
+
+    def _log_answer(
+        self,
+        place: answerlog.Place,
+        request_id: str,
+        outcome: outcomes.Outcome,
+        result: upstream.Result,
+    ) -> None:
+        match result:
+            case upstream.NoResponse(reason=reason, garbled=True):
+                self._answer_log.note_garbled(place, request_id, reason)
+            case upstream.Response(status=status):
+                if isinstance(outcome, outcomes.Lost):
+                    self._answer_log.note_garbled(
+                        place, request_id, "success without proof"
+                    )
+                else:
+                    self._answer_log.note_answer(place, request_id, status)
+
     def _on_idle(self, connection: upstream.ServerConnection) -> None:
         connection.idle_since_s = self._clock.now_s()
         self._idle.append(connection)
--- a/src/savorybend/relay/servermetrics.py
+++ b/src/savorybend/relay/servermetrics.py
@@ -36,6 +36,14 @@
             "Requests sent to the backend server",
             self._parts.pool.requests_sent,
         )
+        unusable = core.CounterMetricFamily(
+            "savorybend_backend_server_unusable_answers",
+            "Answers of the backend server that can't be used, by cause",
+            labels=["cause"],
+        )
+        for cause, count in self._parts.pool.unusable_answers.items():
+            unusable.add_metric([cause], count)
+        yield unusable
         match self._parts.terms.limit:
             case conditions.Limited(rate_per_s=rate_per_s):
                 yield core.GaugeMetricFamily(
--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -7,6 +7,7 @@
 import httptools
 import structlog
 
+from savorybend.relay import answerlog
 from savorybend.relay import http1
 from savorybend.relay import responselimits
 from savorybend.relay import writebatch
@@ -57,10 +58,48 @@
         accepts: Returns whether a response belongs to the request; others are
             discarded.
         callback: Receives the result.
+        request_id: ID of the request; empty if it has none.
     """
 
     accepts: collections.abc.Callable[[http1.Headers], bool]
     callback: OnResult
+    request_id: str = ""
+
+
+class Observer(typing.Protocol):
+    """Receives what arrives on a connection beyond the awaited responses."""
+
+    def on_surplus(
+        self,
+        connection: "ServerConnection",
+        request_id: str,
+        cause: str,
+        response: Response,
+    ) -> None:
+        """Handles a response that no request waits for.
+
+        Args:
+            connection: Where it arrived.
+            request_id: ID of the request that waits there; empty if none does.
+            cause: One of the causes of `answerlog`.
+            response: The response as far as it is known, without its body.
+        """
+
+
+class _NoObserver:
+    """Ignores everything."""
+
+    def on_surplus(
+        self,
+        connection: "ServerConnection",
+        request_id: str,
+        cause: str,
+        response: Response,
+    ) -> None:
+        """Does nothing."""
+
+
+_NO_OBSERVER = _NoObserver()
 
 
 class _LimitError(Exception):
@@ -80,7 +119,14 @@
         on_end: collections.abc.Callable[["ServerConnection"], None],
         limits: responselimits.Limits,
         memory: responselimits.BodyMemory,
+        number: int = 0,
+        observer: Observer = _NO_OBSERVER,
     ):
+        self._number = number
+        self._observer = observer
+        self._carried_ids: set[str] = set()
+        self._requests = 0
+        self._surplus = 0
         self._limits = limits
         self._memory = memory
         # The head that is being received; a parser that gets it in pieces
@@ -114,8 +160,20 @@
         """Headers of the last response."""
         return self._headers
 
+    @property
+    def place(self) -> answerlog.Place:
+        """The current place on this connection."""
+        return answerlog.Place(self._number, self._requests, self._surplus)
+
+    def carried(self, request_id: str) -> bool:
+        """Returns whether a request with this ID was sent on it."""
+        return request_id in self._carried_ids
+
     def send(self, data: bytes, expected: PendingRequest) -> None:
         """Sends a request; its result goes to the callback of `expected`."""
+        self._requests += 1
+        if expected.request_id:
+            self._carried_ids.add(expected.request_id)
         self._expected = expected
         self._transport.write(data)
 
@@ -139,6 +197,7 @@
         """Parses received data."""
         if self._expected is None:
             # Data that arrives while no request is pending belongs to none.
+            self._note_surplus(answerlog.WITHOUT_REQUEST, 0)
             self.abort()
             return
         writebatch.CURRENT.begin()
@@ -220,9 +279,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending request."""
         self._unusable = True
-        self._fail(
-            repr(exc) if exc else "closed", self._begun or bool(self._head)
-        )
+        if self._head:
+            self._fail("head broken off", True)
+        elif self._begun:
+            self._fail("answer broken off", True)
+        else:
+            self._fail(repr(exc) if exc else "closed", False)
         self._on_end(self)
 
     def on_message_begin(self) -> None:
@@ -233,6 +295,7 @@
         self._ends_with_connection = False
         if self._expected is None:
             self._unusable = True
+            self._note_surplus(answerlog.WITHOUT_REQUEST, 0)
         else:
             self._headers = []
 
@@ -290,6 +353,9 @@
             # A surplus response to an earlier request. The framing of what
             # follows can't be trusted, so the connection isn't reused.
             self._unusable = True
+            self._note_surplus(
+                answerlog.OF_ANOTHER_REQUEST, self._parser.get_status_code()
+            )
             self._release_body()
             return
         expected, self._expected = self._expected, None
@@ -305,6 +371,14 @@
             self._on_idle(self)
         expected.callback(response)
 
+    def _note_surplus(self, cause: str, status: int) -> None:
+        self._surplus += 1
+        waiting = "" if self._expected is None else self._expected.request_id
+        headers = self._headers if status else []
+        self._observer.on_surplus(
+            self, waiting, cause, Response(status, headers, b"")
+        )
+
     def _announced_bytes(self) -> int:
         """Returns the length of the body that the head tells; 0 for none."""
         for name, value in self._headers:
--- a/tests/relay/test_endless_bytes.py
+++ b/tests/relay/test_endless_bytes.py
@@ -10,6 +10,7 @@
 
 from savorybend.relay import responselimits
 from savorybend.relay import upstream
+from tests.relay import transports
 
 _LIMITS = responselimits.Limits(body_bytes=200_000)
 _MEMORY_BYTES = 1_000_000
@@ -45,34 +46,13 @@
 }
 
 
-class _Transport:
-    def __init__(self):
-        self.aborted = False
-        self.closed = False
-
-    def write(self, data):
-        """Takes a request."""
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return self.aborted or self.closed
-
-    def abort(self):
-        self.aborted = True
-
-    def close(self):
-        self.closed = True
-
-
 class _Call:
     """A connection on which one call waits."""
 
     def __init__(self, memory, request_id=b"1"):
         self.got = []
         self.idle = []
-        self.transport = _Transport()
+        self.transport = transports.RecordingTransport()
         self.connection = upstream.ServerConnection(
             self.idle.append, lambda ended: None, _LIMITS, memory
         )
--- a/tests/relay/test_http1.py
+++ b/tests/relay/test_http1.py
@@ -7,36 +7,7 @@
 from savorybend.relay import responselimits
 from savorybend.relay import upstream
 from tests import fakes
-
-
-class _Transport:
-    """A transport that records the data written."""
-
-    def __init__(self):
-        self.written = b""
-        self.closed = False
-        self.aborted = False
-
-    def write(self, data):
-        self.written += data
-
-    def is_closing(self):
-        return self.closed
-
-    def close(self):
-        self.closed = True
-
-    def abort(self):
-        self.closed = self.aborted = True
-
-    def pause_reading(self):
-        pass
-
-    def resume_reading(self):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
+from tests.relay import transports
 
 
 def _callers(handler, most=1000):
@@ -47,7 +18,7 @@
 
 def _connect(callers):
     connection = callers.create()
-    transport = _Transport()
+    transport = transports.RecordingTransport()
     connection.connection_made(transport)
     return connection, transport
 
@@ -151,7 +122,7 @@
         responselimits.Limits(),
         responselimits.create_body_memory(1 << 20),
     )
-    transport = _Transport()
+    transport = transports.RecordingTransport()
     connection.connection_made(transport)
     connection.send(
         b"request",
--- /dev/null
+++ b/tests/relay/transports.py
@@ -0,0 +1,37 @@
+"""A transport for protocols that are driven without a socket."""
+
+
+class RecordingTransport:
+    """Records the data written and how it was closed.
+
+    Attributes:
+        written: All data written.
+        closed: Whether it was closed.
+        aborted: Whether it was closed at once.
+    """
+
+    def __init__(self):
+        self.written = b""
+        self.closed = False
+        self.aborted = False
+
+    def write(self, data):
+        self.written += data
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        self.closed = self.aborted = True
+
+    def close(self):
+        self.closed = True
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
