--- /dev/null
+++ b/tests/relay/test_answers_to_requests.py
@@ -0,0 +1,260 @@
+"""Which answer of a backend server a request gets, whatever is written."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import strategies
+
+from savorybend.relay import outcomes
+from tests.relay import servers
+
+_FIRST = servers.answer(b"a", 200, b"p1", b"first body")
+_NEXT = servers.answer(b"b", 500, b"p2", b"next")
+_HEAD = servers.answer(b"a", 200, b"p1", b"")
+
+
+async def _two_requests(first, written, ids=("a", "b")):
+    """Returns the outcome of the second request on a connection."""
+    with servers.started() as server:
+        one = await server.send(ids[0])
+        one.connection.write(first)
+        one.connection.deliver()
+        other = await server.send(ids[1])
+        other.connection.write(written)
+        other.connection.deliver()
+        other.connection.end()
+        return other.outcomes
+
+
+async def _outcomes_of_cuts(first, write):
+    """Returns the outcome of the second request for each place of a cut."""
+    return [
+        (cut, *await _two_requests(first, write(cut)))
+        for cut in range(len(first))
+    ]
+
+
+async def test_an_answer_after_a_broken_off_copy_keeps_its_own_status():
+    found = await _outcomes_of_cuts(_FIRST, lambda cut: _FIRST[:cut] + _NEXT)
+    assert [
+        (cut, outcome)
+        for cut, outcome in found
+        if isinstance(outcome, outcomes.Ran) and outcome.status != 500
+    ] == []
+
+
+async def test_an_answer_after_a_broken_off_copy_is_not_awaited_for_long():
+    # The call waited until the connection ended, or its deadline passed.
+    found = await _outcomes_of_cuts(
+        _HEAD, lambda cut: _HEAD[:cut] + servers.answer(b"b", 500)
+    )
+    assert [
+        (cut, outcome)
+        for cut, outcome in found
+        if not isinstance(outcome, outcomes.Ran)
+        and outcome != outcomes.Lost(outcomes.GARBLED)
+    ] == []
+
+
+async def test_a_copy_within_an_answer_never_gives_it_another_status():
+    found = [
+        await _two_requests(_FIRST, _NEXT[:cut] + _FIRST + _NEXT[cut:])
+        for cut in range(len(_NEXT))
+    ]
+    assert [
+        outcome
+        for [outcome] in found
+        if isinstance(outcome, outcomes.Ran)
+        and (outcome.status, outcome.body) != (500, b"next")
+    ] == []
+
+
+async def test_an_answer_begun_twice_is_whole_or_none():
+    found = []
+    for cut in range(1, len(_FIRST)):
+        with servers.started() as server:
+            sent = await server.send("a")
+            sent.connection.write(_FIRST[:cut] + _FIRST)
+            sent.connection.deliver()
+            sent.connection.end()
+        found.append((cut, *sent.outcomes))
+    assert [
+        (cut, outcome)
+        for cut, outcome in found
+        if isinstance(outcome, outcomes.Ran) and outcome.body != b"first body"
+    ] == []
+
+
+async def test_a_late_copy_never_answers_a_repeat_of_its_request():
+    # A backend server that runs a request again makes its calls again.
+    failed = servers.answer(b"a", 500, b"p2", b"failed")
+    [outcome] = await _two_requests(_FIRST, failed, ("a", "a"))
+    assert outcome.status == 500
+    with servers.started() as server:
+        one = await server.send("a")
+        one.connection.write(_FIRST)
+        one.connection.deliver()
+        other = await server.send("a")
+        one.connection.write(_FIRST)
+        one.connection.deliver()
+        other.connection.write(failed)
+        other.connection.deliver()
+    assert [one.status for one in other.outcomes] == [500]
+
+
+async def test_an_answer_without_id_is_no_promise_on_a_used_connection():
+    # An earlier refusal came once more, and a request that ran was refused.
+    found = [
+        await _two_requests(
+            _FIRST, servers.answer(b"", status, executed=executed)
+        )
+        for status in (400, 421, 429, 500, 503)
+        for executed in (True, False)
+    ]
+    assert found == [[outcomes.Lost(outcomes.GARBLED)]] * 10
+
+
+async def test_an_answer_without_id_belongs_to_a_connections_only_request():
+    with servers.started() as server:
+        sent = await server.send("a")
+        sent.connection.write(servers.answer(b"", 503, executed=False))
+        sent.connection.deliver()
+    assert sent.outcomes == [outcomes.NotRun(outcomes.SHED, arrived=True)]
+
+
+async def test_an_earlier_refusal_never_refuses_the_next_request():
+    refusal = servers.answer(b"a", 503, executed=False)
+    found = await _outcomes_of_cuts(refusal, lambda cut: refusal[:cut] + _NEXT)
+    found += [(0, *await _two_requests(refusal, refusal + _NEXT))]
+    assert [
+        (cut, outcome)
+        for cut, outcome in found
+        if isinstance(outcome, outcomes.NotRun)
+        or (isinstance(outcome, outcomes.Ran) and outcome.status != 500)
+    ] == []
+
+
+async def test_two_ids_in_one_head_belong_to_no_request():
+    head, body = _NEXT.split(b"Request-Id: b\r\n")
+    doubled = head + b"Request-Id: b\r\nRequest-Id: a\r\n" + body
+    [outcome] = await _two_requests(_FIRST, doubled)
+    assert outcome == outcomes.Lost(outcomes.GARBLED)
+
+
+async def test_the_next_request_is_not_sent_before_a_copy_was_read():
+    with servers.started() as server:
+        one = await server.send("a")
+        one.connection.write(_FIRST + _FIRST)
+        one.connection.deliver()
+        other = await server.send("b")
+    assert one.outcomes[0].status == 200
+    assert one.connection.transport.closed
+    assert other.connection is not one.connection
+
+
+class _Model:
+    """What a backend server wrote, and what callers may be told of it."""
+
+    def __init__(self, server, data):
+        self._server = server
+        self._data = data
+        self._answers = {}
+        self._ids = []
+
+    def _draw(self, values):
+        return self._data.draw(strategies.sampled_from(values))
+
+    async def send(self):
+        """Sends a request with a new ID, or with one that was sent before."""
+        request_id = self._draw([f"r{len(self._ids)}", *self._ids])
+        self._ids.append(request_id)
+        await self._server.send(request_id)
+
+    def answer(self):
+        """Answers a request that waits, in one of several framings."""
+        waiting = [
+            one
+            for one in self._server.sent
+            if one.number not in self._answers and one.connection.open
+        ]
+        if not waiting:
+            return
+        sent = self._draw(waiting)
+        written = servers.answer(
+            self._ids[sent.number].encode(),
+            self._draw([200, 204 + 1, 404, 500, 504]),
+            b"p%d" % sent.number,
+            self._draw([b"", b"x", b"body %d" % sent.number, b"z" * 300]),
+            self._draw([True, True, True, False]),
+        )
+        self._answers[sent.number] = written
+        self._stutter(sent, written)
+        sent.connection.write(written)
+
+    def _stutter(self, sent, written):
+        """Writes a part of an answer of this connection before another."""
+        known = [
+            self._answers[one]
+            for one in sent.connection.requests
+            if one in self._answers
+        ]
+        if self._draw([True, False]):
+            copy = self._draw([*known, written])
+            size = self._data.draw(strategies.integers(0, len(copy)))
+            sent.connection.write(copy[:size])
+
+    def deliver(self):
+        """Delivers some of the bytes on a connection."""
+        if self._server.connections:
+            connection = self._draw(self._server.connections)
+            size = self._data.draw(strategies.integers(1, 400))
+            connection.deliver(size)
+
+    def end(self):
+        """Ends a connection."""
+        if self._server.connections:
+            connection = self._draw(self._server.connections)
+            connection.end(reset=self._draw([True, False]))
+
+    def check(self):
+        """Checks all that callers were told."""
+        for sent in self._server.sent:
+            assert len(sent.outcomes) <= 1
+            for outcome in sent.outcomes:
+                self._check_outcome(sent, outcome)
+
+    def _check_outcome(self, sent, outcome):
+        written = self._answers.get(sent.number)
+        match outcome:
+            case outcomes.Ran(status=status, head=head, body=body):
+                assert written.startswith(b"HTTP/1.1 %d " % status)
+                assert b"response-signature: p%d\r\n" % sent.number in head
+                assert written.endswith(b"\r\n\r\n" + body)
+                assert b"Not-Executed" not in written
+            case outcomes.NotRun():
+                assert b"Not-Executed" in written
+            case outcomes.Lost():
+                pass
+
+
+async def _play(data):
+    with servers.started() as server:
+        model = _Model(server, data)
+        for _ in range(data.draw(strategies.integers(1, 25))):
+            step = data.draw(
+                strategies.sampled_from(
+                    [model.send, model.answer, model.deliver, model.end]
+                )
+            )
+            result = step()
+            if result is not None:
+                await result
+        for connection in server.connections:
+            connection.end()
+        model.check()
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(strategies.data())
+def test_no_order_of_bytes_gives_a_request_what_is_not_its_own(data):
+    asyncio.run(_play(data))
