--- a/src/savorybend/platform/headers.py
+++ b/src/savorybend/platform/headers.py
@@ -9,7 +9,7 @@
 from savorybend.relay import conditions
 from savorybend.relay import http1
 from savorybend.relay import outcomes
-from savorybend.relay import upstream
+from savorybend.relay import responseparser
 
 # Hop-by-hop headers, and those of the framing.
 _HOP_BY_HOP = {
@@ -145,7 +145,7 @@
         return None
 
     def decode(
-        self, request_id: str, response: upstream.Response
+        self, request_id: str, response: responseparser.Response
     ) -> outcomes.Outcome:
         """Returns the outcome that a response stands for."""
         names_seen = {name for name, _ in response.headers}
--- a/src/savorybend/platform/objects.py
+++ b/src/savorybend/platform/objects.py
@@ -13,6 +13,7 @@
 from savorybend.platform import names
 from savorybend.relay import http1
 from savorybend.relay import responselimits
+from savorybend.relay import responseparser
 from savorybend.relay import settings
 from savorybend.relay import store
 from savorybend.relay import streams
@@ -259,7 +260,7 @@
             )
         return _Answer(found.status, found.body, self._note_era(found))
 
-    def _note_era(self, response: upstream.Response) -> int:
+    def _note_era(self, response: responseparser.Response) -> int:
         """Returns the era of a response; raises if it is an older one."""
         era = _parse_era(response.headers)
         if era is None:
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -16,6 +16,7 @@
 from savorybend.relay import http1
 from savorybend.relay import outcomes
 from savorybend.relay import responselimits
+from savorybend.relay import responseparser
 from savorybend.relay import serverterms
 from savorybend.relay import upstream
 
@@ -50,7 +51,7 @@
         """Returns the request ID of a response; None if it bears none."""
 
     def decode(
-        self, request_id: str, response: upstream.Response
+        self, request_id: str, response: responseparser.Response
     ) -> outcomes.Outcome:
         """Returns the outcome that a response stands for."""
 
@@ -275,7 +276,7 @@
         result: upstream.Result,
     ) -> outcomes.Outcome:
         match result:
-            case upstream.Response():
+            case responseparser.Response():
                 self._last_answer_s = self._clock.now_s()
                 idle_timeout_s = self._codec.idle_timeout_s(result.headers)
                 if idle_timeout_s is not None:
@@ -295,7 +296,7 @@
         connection: upstream.ServerConnection,
         request_id: str,
         cause: str,
-        response: upstream.Response,
+        response: responseparser.Response,
     ) -> None:
         """Records a response that no request waits for."""
         answered_id = self._codec.request_id(response.headers) or ""
@@ -315,7 +316,7 @@
         match result:
             case upstream.NoResponse(reason=reason, garbled=True):
                 self._answer_log.note_garbled(place, request_id, reason)
-            case upstream.Response(status=status):
+            case responseparser.Response(status=status):
                 if isinstance(outcome, outcomes.Lost):
                     self._answer_log.note_garbled(
                         place, request_id, "success without proof"
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -13,7 +13,7 @@
 from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import outcomes
-from savorybend.relay import upstream
+from savorybend.relay import responseparser
 from tests.platform import fleets
 from tests.relay import samples
 
@@ -134,7 +134,7 @@
         for name, value in changed.items()
     )
     pairs = [(name, value) for name, value in found.items() if value]
-    return upstream.Response(status, pairs, b"body")
+    return responseparser.Response(status, pairs, b"body")
 
 
 def test_a_success_is_passed_on_with_its_signature():
