Refuse a response within which another one begins

What callers saw: a success, with the right request ID and proof, where the backend server had answered with a failure; or a body made of two. Cause: what is left of a response that breaks off is joined to the next one. If it breaks off in the reason phrase or in the value of a header, the two make a valid head: the status of the one, the ID, proof and body of the other. The ID was checked; nothing tied the status to it. Change: a status line within a reason phrase or header, or one that begins within a body and is followed by more bytes, ends the connection and the request has no answer. A body without length may hold no status line at all, and no body may hold one together with its own request's ID. Why it works: whatever breaks off, the next response begins with its status line, so a joined one contains it.

--- a/src/savorybend/relay/responseparser.py
+++ b/src/savorybend/relay/responseparser.py
@@ -1,5 +1,10 @@
-"""Parses the responses of a server that arrive on one connection."""
+"""Parses the responses of a server that arrive on one connection.
 
+A server that breaks off and begins again joins two responses. What is parsed
+as one response is used only if no part of another is within it.
+"""
+
+import re
 import typing
 
 import httptools
@@ -9,6 +14,9 @@
 
 _HEAD_END = b"\r\n\r\n"
 _PROTOCOL = b"HTTP/"
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+_STATUS_LINE_BYTES = 12
+_JOINED = "response within a response"
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _FIRST_FINAL = 200
@@ -32,6 +40,11 @@
     """The data isn't a response, or goes beyond a limit."""
 
 
+def contains_status_line(data: bytes) -> bool:
+    """Returns whether another response may begin within some data."""
+    return _PROTOCOL in data and _STATUS_LINE.search(data) is not None
+
+
 class ResponseParser:
     """Parses the responses on one connection."""
 
@@ -50,6 +63,8 @@
         self._error: GarbledError | None = None
         self._begun = False
         self._ends_with_connection = False
+        # Bytes of the body that are to come; None if the head doesn't tell.
+        self._left_bytes: int | None = None
         self._reusable = True
         self._interim_responses = 0
         self._framing_bytes = 0
@@ -84,16 +99,26 @@
                 Responses that are complete before it can be taken.
         """
         while data:
+            completed = len(self._complete)
             if self._head is None:
-                self._feed_body(data)
-                return
-            data = self._feed_head(data)
+                data = self._feed_body(data)
+            else:
+                data = self._feed_head(data)
+            if data and len(self._complete) > completed:
+                self._check_followed(data)
 
     def finish(self) -> None:
-        """Completes a response that is delimited by the connection's end."""
+        """Completes a response that is delimited by the connection's end.
+
+        Raises:
+            GarbledError: It may be joined from two, which no length shows.
+        """
         self._reusable = False
-        if self._ends_with_connection and self._begun:
-            self._end_response()
+        if not (self._ends_with_connection and self._begun):
+            return
+        if contains_status_line(self._body):
+            raise GarbledError(_JOINED)
+        self._end_response()
 
     def release(self) -> None:
         """Gives back the memory of the body that is being received."""
@@ -108,12 +133,20 @@
         # Also of a response that follows another within the same data.
         self._head = None
         self._ends_with_connection = False
+        self._left_bytes = None
         self._headers = []
 
+    def on_status(self, reason: bytes) -> None:
+        """Checks the reason phrase."""
+        if _PROTOCOL in reason:
+            self._refuse(_JOINED)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header."""
         if len(self._headers) >= self._limits.headers:
             self._refuse("too many headers in a response")
+        if contains_status_line(value):
+            self._refuse(_JOINED)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -128,14 +161,18 @@
         if status < _FIRST_FINAL or status in (_NO_CONTENT, _NOT_MODIFIED):
             return
         names = {name for name, _ in self._headers}
-        self._ends_with_connection = not names & {
-            b"content-length",
-            b"transfer-encoding",
-        }
+        if b"transfer-encoding" in names:
+            return
+        if b"content-length" in names:
+            self._left_bytes = self._announced_bytes()
+        else:
+            self._ends_with_connection = True
 
     def on_body(self, part: bytes) -> None:
         """Collects a part of the body."""
         self._received_body_bytes += len(part)
+        if self._left_bytes is not None:
+            self._left_bytes -= len(part)
         self._body += part
         in_memory = self._memory.take(len(part))
         if len(self._body) > self._limits.body_bytes:
@@ -176,20 +213,37 @@
         self._parse(bytes(head[:end]))
         return data[end - collected :]
 
-    def _feed_body(self, data: bytes) -> None:
+    def _feed_body(self, data: bytes) -> bytes:
+        """Parses a part of a body; returns what is known to follow it."""
+        rest = b""
+        if self._left_bytes is not None:
+            data, rest = data[: self._left_bytes], data[self._left_bytes :]
         before = self._received_body_bytes
         completed = len(self._complete)
         self._parse(data)
-        if len(self._complete) > completed:
-            # The counts are those of the next response.
-            return
-        body_bytes = self._received_body_bytes - before
-        self._framing_bytes += len(data) - body_bytes
+        if len(self._complete) == completed:
+            self._check_framing(len(data) - self._received_body_bytes + before)
+        return rest
+
+    def _check_framing(self, received_bytes: int) -> None:
+        self._framing_bytes += received_bytes
         if not self._limits.allows_framing(
             self._framing_bytes, len(self._body)
         ):
             raise GarbledError("response framing too large")
 
+    def _check_followed(self, rest: bytes) -> None:
+        """Drops a response whose body holds the beginning of what follows.
+
+        Raises:
+            GarbledError: It does.
+        """
+        body = self._complete[-1].body
+        found = _STATUS_LINE.search(body + rest[:_STATUS_LINE_BYTES])
+        if found is not None and found.start() < len(body):
+            self._complete.pop()
+            raise GarbledError(_JOINED)
+
     def _parse(self, data: bytes) -> None:
         self._error = None
         try:
--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -160,19 +160,13 @@
             self._note_surplus(answerlog.WITHOUT_REQUEST, _UNKNOWN)
             self.abort()
             return
-        error = ""
-        try:
-            self._parser.feed(data)
-        except responseparser.GarbledError as garbled:
-            error = str(garbled)
-        self._handle_responses(error)
+        self._receive(lambda: self._parser.feed(data))
 
     def eof_received(self) -> bool:
         """Completes a response that is delimited by the connection's end."""
         self._unusable = True
         if self._expected is not None:
-            self._parser.finish()
-            self._handle_responses("")
+            self._receive(self._parser.finish)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -186,6 +180,14 @@
             self._finish(NoResponse(repr(exc) if exc else "closed", False))
         self._on_end(self)
 
+    def _receive(self, parse: collections.abc.Callable[[], None]) -> None:
+        error = ""
+        try:
+            parse()
+        except responseparser.GarbledError as garbled:
+            error = str(garbled)
+        self._handle_responses(error)
+
     def _handle_responses(self, error: str) -> None:
         """Passes on the response to the pending request, if it is there.
 
@@ -203,6 +205,8 @@
                 # The framing of what follows can't be trusted.
                 self._unusable = True
                 self._note_surplus(answerlog.OF_ANOTHER_REQUEST, response)
+        if found is not None and self._is_doubled(found):
+            found, error = None, "answer within its own body"
         if found is not None:
             followed = bool(error) or self._parser.begun
             if followed:
@@ -212,6 +216,15 @@
             self._finish(NoResponse(error, True))
             self.abort()
 
+    def _is_doubled(self, response: responseparser.Response) -> bool:
+        """Returns whether a body holds the answer to its own request."""
+        request_id = self._expected.request_id.encode("latin-1")
+        return (
+            bool(request_id)
+            and request_id in response.body
+            and responseparser.contains_status_line(response.body)
+        )
+
     def _end_request(self, response: responseparser.Response) -> None:
         if self._transport.get_write_buffer_size():
             # The response came before the whole request was written.
