Take an answer without a request ID only on a connection's first request

What callers saw: 'not run, try again' for a request that a backend server had run or was running, or a second run of it, after a faulty server wrote an earlier refusal once more. Cause: a response without a request ID was taken for that of the request that waited, on any connection; a failure needs no proof. One with several IDs was judged by the first. Change: how a response fits is one of four cases. Without an ID it belongs to the only request that its connection carried, else the outcome isn't known and the connection ends; so it is with several IDs. A request that has no ID itself gets a connection of its own. Why it works: a refusal counts only where no earlier one can stand.

--- a/src/savorybend/platform/headers.py
+++ b/src/savorybend/platform/headers.py
@@ -10,6 +10,7 @@
 from savorybend.relay import http1
 from savorybend.relay import outcomes
 from savorybend.relay import responseparser
+from savorybend.relay import upstream
 
 # Hop-by-hop headers, and those of the framing.
 _HOP_BY_HOP = {
@@ -130,12 +131,16 @@
             )
         )
 
-    def accepts(self, request_id: str, headers: http1.Headers) -> bool:
-        """Returns whether a response belongs to a request."""
-        answered_id = self.request_id(headers)
-        # A response that the backend server makes by itself may have no request
-        # ID; `decode` requires one of every success.
-        return answered_id is None or answered_id == request_id
+    def match(self, request_id: str, headers: http1.Headers) -> upstream.Match:
+        """Returns how the headers of a response fit a request."""
+        found = {value for name, value in headers if name == names.REQUEST_ID}
+        if not found:
+            return upstream.Match.UNNAMED
+        if len(found) > 1:
+            return upstream.Match.AMBIGUOUS
+        if found == {request_id.encode("latin-1")}:
+            return upstream.Match.OWN
+        return upstream.Match.ANOTHER
 
     def request_id(self, headers: http1.Headers) -> str | None:
         """Returns the request ID of a response; None if it bears none."""
--- a/src/savorybend/platform/objects.py
+++ b/src/savorybend/platform/objects.py
@@ -238,7 +238,7 @@
                 connection.send(
                     self._encode_request(method, target, body),
                     upstream.PendingRequest(
-                        lambda headers: True, _resolver(future)
+                        lambda headers: upstream.Match.OWN, _resolver(future)
                     ),
                 )
                 found = await future
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -44,8 +44,8 @@
     def encode(self, call: calls.Call, instance: str, left_s: float) -> bytes:
         """Returns the bytes of a request."""
 
-    def accepts(self, request_id: str, headers: http1.Headers) -> bool:
-        """Returns whether a response belongs to a request."""
+    def match(self, request_id: str, headers: http1.Headers) -> upstream.Match:
+        """Returns how the headers of a response fit a request."""
 
     def request_id(self, headers: http1.Headers) -> str | None:
         """Returns the request ID of a response; None if it bears none."""
@@ -185,6 +185,9 @@
 
     def _take_idle(self, request_id: str) -> upstream.ServerConnection | None:
         """Returns an idle connection for a request; None without one."""
+        if not request_id:
+            # Nothing but the connection ties an answer to it.
+            return None
         now_s = self._clock.now_s()
         passed_over: list[upstream.ServerConnection] = []
         found: upstream.ServerConnection | None = None
@@ -266,7 +269,7 @@
             callback(outcome)
 
         expected = upstream.PendingRequest(
-            lambda headers: self._codec.accepts(call.request_id, headers),
+            lambda headers: self._codec.match(call.request_id, headers),
             on_result,
             call.request_id,
         )
--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import enum
 import typing
 
 import structlog
@@ -34,17 +35,25 @@
 OnResult = collections.abc.Callable[[Result], None]
 
 
+class Match(enum.Enum):
+    """How the headers of a response fit a request."""
+
+    OWN = "it bears the request's ID"
+    ANOTHER = "it bears another ID"
+    UNNAMED = "it bears no ID"
+    AMBIGUOUS = "it bears several IDs"
+
+
 class PendingRequest(typing.NamedTuple):
     """A request whose response is awaited.
 
     Attributes:
-        accepts: Returns whether a response belongs to the request; others are
-            discarded.
+        match: Returns how the headers of a response fit the request.
         callback: Receives the result.
         request_id: ID of the request; empty if it has none.
     """
 
-    accepts: collections.abc.Callable[[http1.Headers], bool]
+    match: collections.abc.Callable[[http1.Headers], Match]
     callback: OnResult
     request_id: str = ""
 
@@ -129,14 +138,16 @@
         return answerlog.Place(self._number, self._requests, self._surplus)
 
     def carried(self, request_id: str) -> bool:
-        """Returns whether a request with this ID was sent on it."""
+        """Returns whether a request with this ID was sent on it.
+
+        Requests without an ID are all taken for the same one.
+        """
         return request_id in self._carried_ids
 
     def send(self, data: bytes, expected: PendingRequest) -> None:
         """Sends a request; its result goes to the callback of `expected`."""
         self._requests += 1
-        if expected.request_id:
-            self._carried_ids.add(expected.request_id)
+        self._carried_ids.add(expected.request_id)
         if self._requests >= _MAX_REQUESTS:
             self._unusable = True
         self._expected = expected
@@ -200,26 +211,43 @@
             error: What is wrong with the data behind the last response; empty
                 if nothing is.
         """
-        found: responseparser.Response | None = None
+        result: Result | None = None
         for response in self._parser.take():
-            if found is not None:
-                self._note_surplus(answerlog.WITHOUT_REQUEST, response)
-            elif self._expected.accepts(response.headers):
-                found = response
+            if result is None:
+                result = self._match(response)
             else:
-                # The framing of what follows can't be trusted.
-                self._unusable = True
-                self._note_surplus(answerlog.OF_ANOTHER_REQUEST, response)
-        if found is not None and self._is_doubled(found):
-            found, error = None, "answer within its own body"
-        if found is not None:
-            followed = bool(error) or self._parser.begun
-            if followed:
-                self._note_surplus(answerlog.WITHOUT_REQUEST, _UNKNOWN)
-            self._end_request(found)
-        elif error:
-            self._finish(NoResponse(error, True))
-            self.abort()
+                self._note_surplus(answerlog.WITHOUT_REQUEST, response)
+        if result is None and error:
+            result = NoResponse(error, True)
+        match result:
+            case responseparser.Response():
+                if error or self._parser.begun:
+                    self._note_surplus(answerlog.WITHOUT_REQUEST, _UNKNOWN)
+                self._end_request(result)
+            case NoResponse():
+                self._finish(result)
+                self.abort()
+
+    def _match(self, response: responseparser.Response) -> Result | None:
+        """Returns what a response means to the pending request.
+
+        Returns None if the request goes on waiting.
+        """
+        match self._expected.match(response.headers):
+            case Match.OWN if self._is_doubled(response):
+                return NoResponse("answer within its own body", True)
+            case Match.OWN:
+                return response
+            case Match.UNNAMED if self._requests == 1 and not self._surplus:
+                return response
+            case Match.UNNAMED:
+                # It may belong to an earlier request.
+                return NoResponse("no request ID on a used connection", True)
+            case Match.AMBIGUOUS:
+                return NoResponse("several request IDs", True)
+        # The framing of what follows can't be trusted.
+        self._note_surplus(answerlog.OF_ANOTHER_REQUEST, response)
+        return None
 
     def _is_doubled(self, response: responseparser.Response) -> bool:
         """Returns whether a body holds the answer to its own request."""
--- a/tests/relay/test_answerlog.py
+++ b/tests/relay/test_answerlog.py
@@ -36,7 +36,7 @@
     connection.send(
         b"request",
         upstream.PendingRequest(
-            lambda headers: (b"id", request_id) in headers,
+            transports.match(request_id),
             got.append,
             request_id.decode(),
         ),
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -146,6 +146,18 @@
     assert sent.outcomes == [outcomes.NotRun(outcomes.SHED, arrived=True)]
 
 
+async def test_a_request_without_id_has_a_connection_of_its_own():
+    with servers.started() as server:
+        one = await server.send("a")
+        one.connection.write(_FIRST)
+        one.connection.deliver()
+        sent = await server.send("")
+        sent.connection.write(servers.answer(b"", 400))
+        sent.connection.deliver()
+    assert sent.connection is not one.connection
+    assert sent.outcomes[0].status == 400
+
+
 async def test_an_earlier_refusal_never_refuses_the_next_request():
     refusal = servers.answer(b"a", 503, executed=False)
     found = await _outcomes_of_cuts(refusal, lambda cut: refusal[:cut] + _NEXT)
--- a/tests/relay/test_endless_bytes.py
+++ b/tests/relay/test_endless_bytes.py
@@ -63,7 +63,7 @@
         self.connection.send(
             b"request",
             upstream.PendingRequest(
-                lambda headers: (b"id", request_id) in headers, self.got.append
+                transports.match(request_id), self.got.append
             ),
         )
 
@@ -219,7 +219,8 @@
         raise RuntimeError("a mistake")
 
     call.connection.send(
-        b"request", upstream.PendingRequest(lambda headers: True, fail)
+        b"request",
+        upstream.PendingRequest(lambda headers: upstream.Match.OWN, fail),
     )
     call.feed(_ANSWER)
     assert call.transport.aborted
--- a/tests/relay/test_http1.py
+++ b/tests/relay/test_http1.py
@@ -126,9 +126,7 @@
     connection.connection_made(transport)
     connection.send(
         b"request",
-        upstream.PendingRequest(
-            lambda headers: (b"id", request_id) in headers, got.append
-        ),
+        upstream.PendingRequest(transports.match(request_id), got.append),
     )
     return connection, transport, got, idle
 
--- a/tests/relay/transports.py
+++ b/tests/relay/transports.py
@@ -1,5 +1,7 @@
 """A transport for protocols that are driven without a socket."""
 
+from savorybend.relay import upstream
+
 
 class RecordingTransport:
     """Records the data written and how it was closed.
@@ -35,3 +37,14 @@
 
     def resume_reading(self):
         pass
+
+
+def match(request_id):
+    """Returns a function that matches responses by the header `Id`."""
+
+    def match_headers(headers):
+        if (b"id", request_id) in headers:
+            return upstream.Match.OWN
+        return upstream.Match.ANOTHER
+
+    return match_headers
