Refuse a chunked response that holds another and is followed by more

Cause: what follows a chunked body isn't known to the parser before it has parsed it, so the check of what follows a body covered a body of known length only. Change: a connection that has read a whole segment refuses an answer whose body holds a status line if anything came behind it.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -212,21 +212,31 @@
                 if nothing is.
         """
         result: Result | None = None
+        surplus: list[responseparser.Response] = []
         for response in self._parser.take():
             if result is None:
                 result = self._match(response)
             else:
-                self._note_surplus(answerlog.WITHOUT_REQUEST, response)
-        if result is None and error:
-            result = NoResponse(error, True)
+                surplus.append(response)
+        if error or self._parser.begun:
+            surplus.append(_UNKNOWN)
         match result:
+            case responseparser.Response(body=body) if (
+                surplus and responseparser.contains_status_line(body)
+            ):
+                self._give_up("response within a response")
             case responseparser.Response():
-                if error or self._parser.begun:
-                    self._note_surplus(answerlog.WITHOUT_REQUEST, _UNKNOWN)
+                for response in surplus:
+                    self._note_surplus(answerlog.WITHOUT_REQUEST, response)
                 self._end_request(result)
-            case NoResponse():
-                self._finish(result)
-                self.abort()
+            case NoResponse(reason=reason):
+                self._give_up(reason)
+            case None if error:
+                self._give_up(error)
+
+    def _give_up(self, reason: str) -> None:
+        self._finish(NoResponse(reason, True))
+        self.abort()
 
     def _match(self, response: responseparser.Response) -> Result | None:
         """Returns what a response means to the pending request.
--- a/tests/relay/servers.py
+++ b/tests/relay/servers.py
@@ -134,6 +134,17 @@
         yield server
 
 
+def chunked(request_id, body):
+    """Returns the bytes of an answer of status 200 in two chunks."""
+    first, other = body[:4], body[4:]
+    return (
+        b"HTTP/1.1 200 OK\r\nServer: reads 1\r\nRequest-Id: %s\r\n"
+        b"Response-Signature: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n"
+        % (request_id, len(first), first, len(other), other)
+    )
+
+
 def answer(request_id, status=200, proof=b"p", body=b"body", executed=True):
     """Returns the bytes of an answer, with a header before the ID."""
     refused = b"" if executed else b"Not-Executed: 1\r\n"
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from savorybend.relay import outcomes
@@ -70,12 +71,15 @@
     ] == []
 
 
-async def test_an_answer_begun_twice_is_whole_or_none():
+@pytest.mark.parametrize(
+    "answer", [_FIRST, servers.chunked(b"a", b"first body")]
+)
+async def test_an_answer_begun_twice_is_whole_or_none(answer):
     found = []
-    for cut in range(1, len(_FIRST)):
+    for cut in range(1, len(answer)):
         with servers.started() as server:
             sent = await server.send("a")
-            sent.connection.write(_FIRST[:cut] + _FIRST)
+            sent.connection.write(answer[:cut] + answer)
             sent.connection.deliver()
             sent.connection.end()
         found.append((cut, *sent.outcomes))
