--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -181,6 +181,16 @@
     assert outcome == outcomes.Lost(outcomes.GARBLED)
 
 
+@pytest.mark.parametrize("status", [200, 500, 503])
+async def test_two_answers_that_differ_are_no_answer(status):
+    with servers.started() as server:
+        sent = await server.send("a")
+        other = servers.answer(b"a", status, b"p2", b"other")
+        sent.connection.write(_FIRST + other)
+        sent.connection.deliver()
+    assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
+
+
 async def test_the_next_request_is_not_sent_before_a_copy_was_read():
     with servers.started() as server:
         one = await server.send("a")
