Log the events of a call in one place

Cause: five places listed the same fields of a call, each with its own rounding, and two of them left the client account out. Change: calllog.log_call has the fields that all lines about a call share. call_sent_elsewhere, call_answered_elsewhere and outcome_passed_over have the client account now too.

--- a/src/savorybend/relay/forwarding.py
+++ b/src/savorybend/relay/forwarding.py
@@ -7,13 +7,12 @@
 import collections.abc
 import typing
 
-import structlog
-
 from savorybend.internal import sentinels
 from savorybend.internal import timers
 from savorybend.relay import admission
 from savorybend.relay import allowance
 from savorybend.relay import callers
+from savorybend.relay import calllog
 from savorybend.relay import calls
 from savorybend.relay import catalog
 from savorybend.relay import counters
@@ -38,8 +37,6 @@
 # An answer may arrive this long after the deadline before the call is failed.
 _DEADLINE_GRACE_S = 0.03
 
-_log = structlog.get_logger()
-
 
 class IngressCodec(typing.Protocol):
     """Converts between HTTP requests of callers and calls."""
@@ -181,7 +178,7 @@
 
     def _on_outcome(self, attempt: int, outcome: outcomes.Outcome) -> None:
         if self._finished or attempt != self._attempt:
-            self._log("outcome_passed_over", outcome)
+            self._log_outcome("outcome_passed_over", outcome)
             return
         self._parts.load_balancer.record_outcome(self._daemon, outcome)
         if isinstance(outcome, outcomes.Ran):
@@ -193,7 +190,7 @@
         self._handle = None
         self._remember(outcome)
         if self._may_try_next(outcome):
-            self._log("call_sent_elsewhere", outcome)
+            self._log_outcome("call_sent_elsewhere", outcome)
             self._dispatch()
         else:
             self._reply_last_outcome()
@@ -250,7 +247,11 @@
         match self._last_outcome:
             case outcomes.Ran() as ran:
                 if len(self._tried) > 1:
-                    self._log_answer(ran.status)
+                    self._log(
+                        "call_answered_elsewhere",
+                        status=ran.status,
+                        asked=",".join(self._tried),
+                    )
                 self._answer(ran.status, ran.head, ran.body, "ran")
             case outcomes.Lost(reason=reason):
                 status = _BAD_GATEWAY
@@ -275,14 +276,24 @@
         head = self._parts.codec.refusal_head(
             self._call.request_id, retry_after_s
         )
-        self._log_refusal(reason, retry_after_s)
+        self._log(
+            "call_refused",
+            reason=reason,
+            asked=",".join(self._tried),
+            retry_after_s=round(retry_after_s, 3),
+        )
         if self._account is not None:
             self._parts.allowance.give_back(self._account)
         self._answer(_UNAVAILABLE, head, b"", reason)
 
     def _fail(self, status: int, reason: str) -> None:
         head = self._parts.codec.refusal_head(self._call.request_id, 0.0)
-        self._log_failure(status, reason)
+        self._log(
+            "call_failed",
+            status=status,
+            reason=reason,
+            asked=",".join(self._tried),
+        )
         self._answer(status, head, b"", reason)
 
     def _answer(
@@ -320,51 +331,14 @@
         self._timer.cancel()
         self._exchange.on_disconnect = None
 
-    def _log(self, event: str, outcome: outcomes.Outcome) -> None:
-        _log.info(
+    def _log_outcome(self, event: str, outcome: outcomes.Outcome) -> None:
+        self._log(
             event,
-            request_id=self._call.request_id,
-            route=self._route.name,
             asked=self._daemon,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
-            left_s=self._left_s(),
-        )
-
-    def _log_answer(self, status: int) -> None:
-        _log.info(
-            "call_answered_elsewhere",
-            request_id=self._call.request_id,
-            route=self._route.name,
-            status=status,
-            asked=",".join(self._tried),
-            left_s=self._left_s(),
-        )
-
-    def _log_refusal(self, reason: str, retry_after_s: float) -> None:
-        _log.info(
-            "call_refused",
-            request_id=self._call.request_id,
-            route=self._route.name,
-            client_account=self._call.client_account,
-            reason=reason,
-            asked=",".join(self._tried),
-            retry_after_s=round(retry_after_s, 3),
-            left_s=self._left_s(),
-        )
-
-    def _log_failure(self, status: int, reason: str) -> None:
-        _log.info(
-            "call_failed",
-            request_id=self._call.request_id,
-            route=self._route.name,
-            client_account=self._call.client_account,
-            status=status,
-            reason=reason,
-            asked=",".join(self._tried),
-            left_s=self._left_s(),
         )
 
-    def _left_s(self) -> float:
+    def _log(self, event: str, **fields: object) -> None:
         now_s = self._parts.timers.clock.now_s()
-        return round(self._call.deadline_s - now_s, 3)
+        calllog.log_call(event, self._call, now_s, **fields)
--- a/src/savorybend/relay/ingress.py
+++ b/src/savorybend/relay/ingress.py
@@ -9,6 +9,7 @@
 from savorybend.relay import admission
 from savorybend.relay import allowance
 from savorybend.relay import callers
+from savorybend.relay import calllog
 from savorybend.relay import calls
 from savorybend.relay import forwarding
 from savorybend.relay import outcomes
@@ -163,16 +164,14 @@
             base_s * (0.5 + self._parts.random_fraction()),
             left_s * forwarding.MAX_RETRY_AFTER_FRACTION,
         )
-        _log.info(
+        calllog.log_call(
             "call_refused",
-            request_id=call.request_id,
-            route=call.route,
-            client_account=call.client_account,
+            call,
+            now_s,
             reason=outcomes.PRESSURE,
             call_class=call.priority,
             part_admitted=round(fraction, 2),
             retry_after_s=round(retry_after_s, 3),
-            left_s=round(left_s, 3),
         )
         self._parts.counters.record_call(
             call, _UNAVAILABLE, outcomes.PRESSURE, 0.0
