End a failed connection before its caller is told

Cause: the callback of a request without an answer ran while the connection still counted as usable; a request sent from there was dropped by the abort that followed, without a result. Through the pool it can't be sent there, since a failed connection isn't among the idle ones. Change: the connection is ended first. Measured: the new test failed before. test_answers_to_requests, test_http1, test_endless_bytes and test_answerlog pass.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -239,8 +239,8 @@
                 self._give_up(error)
 
     def _give_up(self, reason: str) -> None:
+        self._transport.abort()
         self._finish(NoResponse(reason, True))
-        self.abort()
 
     def _match(self, response: responseparser.Response) -> Result | None:
         """Returns what a response means to the pending request.
@@ -298,6 +298,7 @@
 
     def _finish(self, result: NoResponse) -> None:
         self._parser.release()
+        self._unusable = True
         expected, self._expected = self._expected, None
         if expected is not None:
             self._call(expected, result)
--- a/tests/relay/test_http1.py
+++ b/tests/relay/test_http1.py
@@ -180,6 +180,21 @@
     assert transport.aborted
 
 
+def test_a_connection_is_unusable_before_its_caller_is_told_of_a_failure():
+    # A request sent from the callback was dropped without a result.
+    connection, _, _, _ = _expecting(b"1")
+    usable = []
+    connection.send(
+        b"request",
+        upstream.PendingRequest(
+            transports.match(b"1"),
+            lambda result: usable.append(connection.usable),
+        ),
+    )
+    connection.data_received(b"garbage\r\n\r\n")
+    assert usable == [False]
+
+
 def test_a_target_beyond_the_limit_is_refused():
     # It was collected without end, and only headers were counted.
     seen = []
