Test real daemons with backend servers that stutter

Callers saw: a status, proof or body that wasn't the backend server's for that request, or 503 for a request that it ran. Cause: such servers were only played to a pool's connections, byte by byte; no test had daemons, a link between them, the retry of a call and callers.

--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -86,7 +86,7 @@
         self.host = f"127.0.20.{number + 1}"
         self.base = fleet.base_port
         self.store_host = f"127.0.21.{number + 1}"
-        self.worker = standin_worker.Worker(
+        self.worker = fleet.create_worker(
             service,
             f"{self.host}:{self.base + 4}",
             f"{self.host}:{self.base + 3}",
@@ -197,9 +197,10 @@
 class Fleet:
     """Machines, the store, and a caller."""
 
-    def __init__(self, folder, base_port, command):
+    def __init__(self, folder, base_port, command, create_worker):
         self.folder = folder
         self.base_port = base_port
+        self.create_worker = create_worker
         self.store = standin_store.Store()
         self.machines = []
         self.session = None
@@ -284,10 +285,15 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder, services, base_port=_BASE_PORT, command=None, data_centres=2
+    folder,
+    services,
+    base_port=_BASE_PORT,
+    command=None,
+    data_centres=2,
+    create_worker=standin_worker.Worker,
 ):
     """Runs a fleet with a machine for each service."""
-    fleet = Fleet(folder, base_port, command)
+    fleet = Fleet(folder, base_port, command, create_worker)
     try:
         await fleet.start(services, data_centres)
         yield fleet
