Keep a call whose number an earlier start of its sender used

What callers saw: 502 for a call that was under way or answered, if a daemon had started again and a connection broke; a read that ran on after its caller left. Cause: a daemon numbers its calls from 1 at each start. Change: the outcome of a call that isn't kept any more ends there. Why it works: only a call that is kept under its number is ever marked.

--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -183,6 +183,10 @@
     ) -> None:
         accepted.outcome = outcome
         accepted.handle = None
+        if self._calls.get(key) is not accepted:
+            # It was cancelled, or an earlier start of the peer sent it; that
+            # peer's numbers begin anew.
+            return
         accepted.retained_until_s = (
             self._parts.clock.now_s() + _OUTCOME_RETENTION_S
         )
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -13,6 +13,7 @@
 
 _LOAD = outcomes.Load(0, 0, 1, 0.0, 1.0, {})
 _RAN = outcomes.Ran(200, b"", b"whole")
+_FAILED = outcomes.Ran(500, b"", b"failed")
 
 
 class _Own:
@@ -65,6 +66,18 @@
         return self.handles[-1]
 
 
+def _parts(own, tasks):
+    clock = timers.SystemClock()
+    return links.Dependencies(
+        own,
+        _Events(),
+        clock,
+        timers.create_timer_service(clock),
+        tasks,
+        traffic.create_traffic(),
+    )
+
+
 class _Pair:
     """A sending and a serving daemon on a real connection."""
 
@@ -79,16 +92,7 @@
         self.transports = []
 
     def _parts(self, own):
-        clock = timers.SystemClock()
-        service = timers.create_timer_service(clock)
-        return links.Dependencies(
-            own,
-            _Events(),
-            clock,
-            service,
-            self.tasks,
-            traffic.create_traffic(),
-        )
+        return _parts(own, self.tasks)
 
     async def start(self, boot=1):
         loop = asyncio.get_running_loop()
@@ -127,16 +131,37 @@
         self.reset()
         await asyncio.sleep(0)
 
+    def restart_sender(self):
+        """Replaces the sending daemon by its next start."""
+        # Its calls end with the process, and it doesn't connect again.
+        self.link._sent.clear()
+        self.link.close()
+        self.link = links.Link(
+            samples.statement("b", port=self.port),
+            self._parts(_Own("a", 1, boot=2)),
+            itertools.count(1),
+        )
+        self.link.set_persistent(True)
+
     def submit(self, **changes):
-        clock = timers.SystemClock()
-        call = samples.call(deadline_s=clock.now_s() + 5.0, **changes)
-        return self.link.submit(call, self.got.append)
+        return _submit(self.link, self.got, **changes)
 
     async def until(self, condition):
-        async with asyncio.timeout(5.0):
-            while not condition():
-                self.link.tick()
-                await asyncio.sleep(0.01)
+        await _until(self.link, condition)
+
+
+def _submit(link, got, **changes):
+    """Submits a call whose outcome is appended to a list."""
+    clock = timers.SystemClock()
+    call = samples.call(deadline_s=clock.now_s() + 5.0, **changes)
+    return link.submit(call, got.append)
+
+
+async def _until(link, condition):
+    async with asyncio.timeout(5.0):
+        while not condition():
+            link.tick()
+            await asyncio.sleep(0.01)
 
 
 @contextlib.asynccontextmanager
@@ -217,13 +242,7 @@
     async with _pair() as pair:
         pair.submit()
         await pair.until(lambda: pair.serving.taken)
-        pair.link.close()
-        pair.link = links.Link(
-            samples.statement("b", port=pair.port),
-            pair._parts(_Own("a", 1, boot=2)),
-            itertools.count(1),
-        )
-        pair.link.set_persistent(True)
+        pair.restart_sender()
         await pair.until(lambda: pair.serving.handles[0].cancelled)
 
 
@@ -236,3 +255,35 @@
             callback(_RAN)
         await pair.until(lambda: not pair.peer_server._calls)
         assert pair.got == [_RAN] * 20
+
+
+async def test_an_outcome_of_an_earlier_start_answers_no_call_of_its_number():
+    async with _pair() as pair:
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        pair.restart_sender()
+        pair.submit(idempotent=False)
+        await pair.until(lambda: len(pair.serving.taken) == 2)
+        pair.serving.taken[0][1](_RAN)
+        pair.serving.taken[1][1](_FAILED)
+        await pair.until(lambda: pair.got)
+        await asyncio.sleep(0.05)
+        assert pair.got == [_FAILED]
+
+
+async def test_an_outcome_of_an_earlier_start_ends_no_call_of_its_number():
+    # Numbers begin anew, and the call that had the number was forgotten.
+    async with _pair() as pair:
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        pair.restart_sender()
+        pair.submit(idempotent=False)
+        await pair.until(lambda: len(pair.serving.taken) == 2)
+        pair.serving.taken[0][1](_RAN)
+        pair.peer_server.sweep()
+        assert pair.peer_server.busy == 1
+        pair.reset()
+        await asyncio.sleep(0.1)
+        pair.serving.taken[1][1](_FAILED)
+        await pair.until(lambda: pair.got)
+        assert pair.got == [_FAILED]
