Test a link with a peer that says outcomes twice, late and in parts

Cause: no test showed what a link does with an outcome of a call that has one, was cancelled or is of an earlier start of the peer, with one on a connection that was given up, with one that comes twice after `Resume`, or with a part of one. Change: a peer whose messages a test writes.

--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -5,9 +5,11 @@
 import itertools
 
 from savorybend.internal import timers
+from savorybend.relay import frames
 from savorybend.relay import links
 from savorybend.relay import outcomes
 from savorybend.relay import peerserver
+from savorybend.relay import streams
 from savorybend.relay import traffic
 from tests.relay import samples
 
@@ -287,3 +289,182 @@
         pair.serving.taken[1][1](_FAILED)
         await pair.until(lambda: pair.got)
         assert pair.got == [_FAILED]
+
+
+class _RawPeer:
+    """A peer that says what the test says; it greets by itself.
+
+    Attributes:
+        link: The link to it.
+        boot: Its start, which a greeting names.
+        streams: Its connections so far.
+        said: What the link said on any of them.
+    """
+
+    def __init__(self):
+        self.boot = 1
+        self.streams = []
+        self.said = []
+        self.tasks = set()
+        self.link = None
+        self._servers = []
+
+    async def start(self):
+        """Begins to listen."""
+        port = await self.listen()
+        self.link = links.Link(
+            samples.statement("b", port=port),
+            _parts(_Own("a", 1), self.tasks),
+            itertools.count(1),
+        )
+        self.link.set_persistent(True)
+
+    async def listen(self):
+        """Listens on another port; returns it."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(self._create, "127.0.0.1", 0)
+        self._servers.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Ends all connections."""
+        self.link.close()
+        for server in self._servers:
+            server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    def answer(self, stream, number, outcome):
+        """Writes the outcome of a call."""
+        stream.send(frames.Done(number, outcome, _LOAD))
+        stream._flush()
+
+    async def until_said(self, kind, count=1):
+        """Waits until the link said this often."""
+        await _until(
+            self.link,
+            lambda: sum(isinstance(one, kind) for one in self.said) >= count,
+        )
+
+    def _create(self):
+        stream = streams.Stream(
+            self._on_message, lambda ended: None, traffic.create_traffic()
+        )
+        self.streams.append(stream)
+        return stream
+
+    def _on_message(self, stream, message):
+        self.said.append(message)
+        if isinstance(message, frames.Hello):
+            own = samples.statement("b", boot=self.boot)
+            stream.send(frames.Hello(own, 0))
+
+
+@contextlib.asynccontextmanager
+async def _raw_peer():
+    peer = _RawPeer()
+    await peer.start()
+    try:
+        yield peer
+    finally:
+        peer.close()
+
+
+async def test_an_outcome_said_twice_answers_one_call():
+    async with _raw_peer() as peer:
+        first, second = [], []
+        _submit(peer.link, first)
+        _submit(peer.link, second)
+        await peer.until_said(frames.Run, 2)
+        [stream] = peer.streams
+        peer.answer(stream, 1, _RAN)
+        peer.answer(stream, 1, _RAN)
+        peer.answer(stream, 2, _FAILED)
+        await _until(peer.link, lambda: second)
+        assert (first, second) == ([_RAN], [_FAILED])
+
+
+async def test_a_late_outcome_of_a_cancelled_call_answers_no_other():
+    async with _raw_peer() as peer:
+        first, second = [], []
+        handle = _submit(peer.link, first)
+        await peer.until_said(frames.Run)
+        handle.cancel()
+        _submit(peer.link, second)
+        await peer.until_said(frames.Run, 2)
+        [stream] = peer.streams
+        peer.answer(stream, 1, _RAN)
+        peer.answer(stream, 2, _FAILED)
+        await _until(peer.link, lambda: second)
+        assert (first, second) == ([], [_FAILED])
+
+
+async def test_an_outcome_on_a_connection_that_was_given_up_is_not_read():
+    async with _raw_peer() as peer:
+        got = []
+        _submit(peer.link, got, idempotent=False)
+        await peer.until_said(frames.Run)
+        moved = samples.statement("b", port=await peer.listen(), serial=2)
+        peer.link.update(moved)
+        peer.answer(peer.streams[0], 1, _RAN)
+        await peer.until_said(frames.Resume)
+        peer.answer(peer.streams[1], 1, _FAILED)
+        await _until(peer.link, lambda: got)
+        await asyncio.sleep(0.05)
+        assert got == [_FAILED]
+
+
+async def test_an_outcome_said_again_after_a_resume_answers_one_call():
+    async with _raw_peer() as peer:
+        first, second = [], []
+        _submit(peer.link, first)
+        await peer.until_said(frames.Run)
+        peer.streams[0].abort()
+        await peer.until_said(frames.Resume)
+        _submit(peer.link, second)
+        await peer.until_said(frames.Run, 2)
+        for _ in range(2):
+            peer.answer(peer.streams[1], 1, _RAN)
+        peer.answer(peer.streams[1], 2, _FAILED)
+        await _until(peer.link, lambda: second)
+        assert (first, second) == ([_RAN], [_FAILED])
+
+
+async def test_an_outcome_of_an_earlier_start_of_a_peer_is_not_believed():
+    async with _raw_peer() as peer:
+        first, second = [], []
+        _submit(peer.link, first, idempotent=False)
+        await peer.until_said(frames.Run)
+        peer.boot = 2
+        peer.streams[0].abort()
+        await _until(peer.link, lambda: first)
+        _submit(peer.link, second, idempotent=False)
+        await peer.until_said(frames.Run, 2)
+        peer.answer(peer.streams[1], 1, _RAN)
+        peer.answer(peer.streams[1], 2, _FAILED)
+        await _until(peer.link, lambda: second)
+        assert first == [outcomes.Lost(outcomes.DAEMON_LOST)]
+        assert second == [_FAILED]
+
+
+async def _outcomes_after(written):
+    """Returns the outcomes of a call whose first connection ends after data.
+
+    Its outcome on the next connection is `_FAILED`.
+    """
+    async with _raw_peer() as peer:
+        got = []
+        _submit(peer.link, got)
+        await peer.until_said(frames.Run)
+        peer.streams[0]._transport.write(written)
+        peer.streams[0].close()
+        await peer.until_said(frames.Resume)
+        peer.answer(peer.streams[1], 1, _FAILED)
+        await _until(peer.link, lambda: got)
+        return got
+
+
+async def test_an_outcome_broken_off_with_its_connection_answers_nothing():
+    whole = frames.encode(frames.Done(1, _RAN, _LOAD))
+    for cut in range(1, len(whole)):
+        assert await _outcomes_after(whole[:cut]) == [_FAILED]
