Fail calls to a daemon whose address can't be dialled as not run

Seen: calls sent to a daemon whose record has a port out of range, or a host with a NUL, an empty label or a lone surrogate, had no answer until their deadline. The link stayed so after the daemon's record was valid again. Cause: the event loop refuses such an address with ValueError or OverflowError, not with OSError. The attempt ended without a result, and the link counted it as under way for good. Change: these errors are a failure to connect like any other. Measured: test_links, 7 of 7 addresses failed before (timeout after 5 s each), all 15 tests of the file pass now. Why it works: every attempt ends in a connection or in the failure that settles the calls and plans the next attempt.

--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -30,6 +30,8 @@
 _IDLE_TIMEOUT_S = 5.0
 # For this long after a failure, calls fail without another attempt.
 _FAIL_FAST_S = 0.3
+# A host or port that isn't one is refused with errors other than `OSError`.
+_DIAL_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
 
 _log = structlog.get_logger()
 
@@ -309,7 +311,7 @@
                     ),
                     *address,
                 )
-        except (OSError, TimeoutError) as error:
+        except _DIAL_ERRORS as error:
             self._dialing = False
             self._note_failure(error)
             return
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -4,6 +4,8 @@
 import contextlib
 import itertools
 
+import pytest
+
 from savorybend.internal import timers
 from savorybend.relay import links
 from savorybend.relay import outcomes
@@ -236,3 +238,35 @@
             callback(_RAN)
         await pair.until(lambda: not pair.peer_server._calls)
         assert pair.got == [_RAN] * 20
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [
+        ("127.0.0.1", 70_000),
+        ("127.0.0.1", -1),
+        ("127.0.0.1", 10**30),
+        ("127.0.0.1\0", 7000),
+        ("a" * 300, 7000),
+        ("..", 7000),
+        ("h\u00f6st\udc00", 7000),
+    ],
+)
+async def test_an_address_that_cannot_be_dialled_holds_no_call(host, port):
+    # The attempt ended without a result: no other one was made, and calls
+    # waited until their deadline, also once a later statement was valid.
+    async with _pair() as pair:
+        pair.link.close()
+        odd = samples.statement("b", host=host, port=port)
+        pair.link = links.Link(
+            odd, pair._parts(_Own("a", 1)), itertools.count()
+        )
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.got)
+        assert pair.got == [outcomes.NotRun(outcomes.UNREACHABLE)]
+        pair.link.update(samples.statement("b", port=pair.port, boot=2))
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        pair.serving.taken[0][1](_RAN)
+        await pair.until(lambda: len(pair.got) == 2)
+        assert pair.got[1] == _RAN
