Read a list of objects whatever one entry of it holds

Seen: an entry of another writer that is nested deeply, or holds NaN or Infinity as many writers encode them, made the whole page or watch answer unreadable. Deep ones raised RecursionError in the task that follows the store. A page with only entries that have no readable name was followed by the first page again, up to 10,000 times. A name with a slash led to the path of another object, also of another kind. Cause: a decoder takes an answer as a whole, also the parts that it passes on undecoded, and takes stack for each level. Only its own kind of error was caught. Names were put into paths with their slashes. Change: an answer that can't be decoded whole is split at the commas of its outer levels, without recursion, and only what is read of it is decoded (jsonparts). The entry keeps its name, revision and value as they are, so that it can be removed; without a name or a revision of 64 bits it is passed over. A page without a new name ends the listing with an error. The stand-in of the store sends entries byte for byte. Why it works: what isn't read isn't decoded, so it can't fail.

--- a/src/savorybend/platform/objects.py
+++ b/src/savorybend/platform/objects.py
@@ -10,6 +10,7 @@
 
 from savorybend.internal import errors
 from savorybend.internal import sentinels
+from savorybend.platform import jsonparts
 from savorybend.platform import names
 from savorybend.relay import http1
 from savorybend.relay import responselimits
@@ -27,6 +28,12 @@
 _NO_ERA = 0
 # Bodies of all responses that are being received, in bytes.
 _MAX_BODY_MEMORY = 32 << 20
+# Daemons send revisions to each other as integers of 64 bits.
+_MAX_REVISION = (1 << 63) - 1
+_NO_SPEC = msgspec.Raw(b"null")
+# A decoder raises RecursionError at JSON that is nested too deep for the stack
+# that is left.
+_DECODING_ERRORS = (ValueError, KeyError, RecursionError)
 
 _GET = b"GET"
 _POST = b"POST"
@@ -41,19 +48,23 @@
 _log = structlog.get_logger()
 
 
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)]
+
+
 class _Metadata(msgspec.Struct):
-    name: str
-    revision: int
+    name: _Name
+    revision: _Revision
 
 
 class _Object(msgspec.Struct):
     metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b"null")
+    spec: msgspec.Raw = _NO_SPEC
 
 
 class _Page(msgspec.Struct):
     items: list[msgspec.Raw]
-    revision: int = msgspec.field(name="storeRevision")
+    revision: _Revision = msgspec.field(name="storeRevision")
     more: bool = msgspec.field(name="hasMore", default=False)
 
 
@@ -64,7 +75,7 @@
 
 class _Events(msgspec.Struct):
     events: list[_Event]
-    revision: int = msgspec.field(name="storeRevision")
+    revision: _Revision = msgspec.field(name="storeRevision")
 
 
 class _Answer(typing.NamedTuple):
@@ -127,14 +138,14 @@
                     "list is read again"
                 )
             era = answer.era
-            page = _decode(answer.body, _Page)
+            page = _decode(answer.body, _Page, _odd_page)
             # Changes made while pages are read are returned by the watch,
             # which starts at the revision of the first page.
             revision = page.revision if revision is None else revision
             found.extend(_objects(page.items, kind))
             if not page.more or not page.items:
                 break
-            after = _last_name(page.items)
+            after = _last_name(page.items, after)
         return store.Listing(revision or 0, tuple(found), era=era or _NO_ERA)
 
     async def watch(
@@ -157,7 +168,7 @@
                 f"{kind.name}: revision {after} is of era {era}, the store's "
                 f"is {answer.era}: list again"
             )
-        events = _decode(answer.body, _Events)
+        events = _decode(answer.body, _Events, _odd_events)
         changed: dict[str, store.StoredObject] = {}
         deleted: dict[str, None] = {}
         for event in events.events:
@@ -337,7 +348,7 @@
 
 def _path(kind: store.Kind, name: str = "") -> str:
     path = f"/objects/{_KINDS[kind]}"
-    return f"{path}/{urllib.parse.quote(name)}" if name else path
+    return f"{path}/{urllib.parse.quote(name, safe='')}" if name else path
 
 
 def _conflict(kind: store.Kind, name: str) -> errors.ConflictError:
@@ -353,22 +364,69 @@
         )
 
 
-def _decode(body: bytes, kind: type) -> typing.Any:
+def _decode(
+    body: bytes,
+    kind: type,
+    decode_odd: collections.abc.Callable[[bytes], typing.Any],
+) -> typing.Any:
+    """Decodes a text whole, or in parts if it can't be decoded whole."""
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except _DECODING_ERRORS:
+            return decode_odd(body)
+    except _DECODING_ERRORS as error:
         raise errors.PlatformUnavailableError(
             f"store's answer can't be decoded ({error}): the request is retried"
         ) from error
 
 
+def _odd_page(body: bytes) -> _Page:
+    found = jsonparts.members(body)
+    return _Page(
+        [msgspec.Raw(one) for one in jsonparts.elements(found["items"])],
+        _field(found, "storeRevision", _Revision),
+        _field(found, "hasMore", bool, b"false"),
+    )
+
+
+def _odd_events(body: bytes) -> _Events:
+    found = jsonparts.members(body)
+    events = []
+    for text in jsonparts.elements(found["events"]):
+        event = jsonparts.members(text)
+        deleted = _field(event, "deleted", bool, b"false")
+        events.append(_Event(msgspec.Raw(event.get("object", b"")), deleted))
+    return _Events(events, _field(found, "storeRevision", _Revision))
+
+
+def _field(
+    found: dict[str, bytes], name: str, kind: typing.Any, default: bytes = b""
+) -> typing.Any:
+    return msgspec.json.decode(found.get(name, default), type=kind)
+
+
 def _object(body: bytes) -> store.StoredObject:
-    found = _decode(body, _Object)
+    """Decodes an object; its value is as another writer may have left it."""
+    found = _decode(body, _Object, _odd_object)
     return store.StoredObject(
         found.metadata.name, found.metadata.revision, bytes(found.spec)
     )
 
 
+def _odd_object(body: bytes) -> _Object:
+    """Returns an object of which something else can't be decoded."""
+    parts = jsonparts.members(body)
+    metadata = jsonparts.members(parts.get("metadata", b""))
+    return _Object(
+        _Metadata(
+            _field(metadata, "name", _Name),
+            _field(metadata, "revision", _Revision),
+        ),
+        msgspec.Raw(parts.get("spec", bytes(_NO_SPEC))),
+    )
+
+
 def _objects(
     items: list[msgspec.Raw], kind: store.Kind
 ) -> collections.abc.Iterator[store.StoredObject]:
@@ -380,13 +438,20 @@
             _log.warning("object_passed_over", kind=kind.name, error=str(error))
 
 
-def _last_name(items: list[msgspec.Raw]) -> str:
+def _last_name(items: list[msgspec.Raw], after: str) -> str:
+    """Returns the last name on a page that begins after another name."""
     for item in reversed(items):
         try:
-            return _object(bytes(item)).name
-        except errors.PlatformUnavailableError as error:
-            _log.warning("object_without_name", error=str(error))
-    return ""
+            metadata = jsonparts.members(bytes(item)).get("metadata", b"")
+            name = _field(jsonparts.members(metadata), "name", _Name)
+        except _DECODING_ERRORS:
+            continue
+        if name != after:
+            return name
+    raise errors.PlatformUnavailableError(
+        f"no object on the page after {after!r} has a name: the list is read "
+        "again"
+    )
 
 
 def create_client(address: settings.Address, counts: traffic.Traffic) -> Client:
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -9,6 +9,7 @@
 import copy
 import dataclasses
 import enum
+import json
 
 from aiohttp import web
 
@@ -28,7 +29,12 @@
 
 @dataclasses.dataclass
 class Stored:
-    """An object."""
+    """An object.
+
+    Attributes:
+        raw: The object as it is sent, for what another writer left, with
+            `REVISION` in place of its revision; None to send its fields.
+    """
 
     name: str
     revision: int
@@ -37,6 +43,13 @@
     status: object = None
     finalizers: list = dataclasses.field(default_factory=list)
     deleting: bool = False
+    raw: bytes | None = None
+
+    def text(self):
+        """Returns the bytes that are sent."""
+        if self.raw is not None:
+            return self.raw.replace(b"REVISION", b"%d" % self.revision)
+        return json.dumps(self.wire()).encode()
 
     def wire(self):
         """Returns it as it is sent."""
@@ -111,10 +124,10 @@
             self._changed.notify_all()
 
     def events(self, kind, after):
-        """Returns what changed in a kind since a revision."""
+        """Returns what changed in a kind since a revision, as it is sent."""
         return [
-            {"object": wire, "deleted": deleted}
-            for revision, of, wire, deleted in self._events
+            b'{"object":%s,"deleted":%s}' % (text, json.dumps(deleted).encode())
+            for revision, of, text, deleted in self._events
             if of == kind and revision > after
         ]
 
@@ -127,7 +140,7 @@
             objects.pop(found.name, None)
         else:
             objects[found.name] = found
-        event = (self._revision, kind, found.wire(), deleted)
+        event = (self._revision, kind, found.text(), deleted)
         self._events.append(event)
         async with self._changed:
             self._changed.notify_all()
@@ -187,18 +200,25 @@
     return web.Response(status=status, headers={"Store-Era": str(store.era)})
 
 
+def _answer(text, status=200):
+    return web.Response(
+        body=text, status=status, content_type="application/json"
+    )
+
+
 def _lister(store):
     async def handle(request):
         kind = request.match_info["kind"]
         if "watch" in request.query:
             return await _watch(store, kind, request.query)
         found, more = store.list(kind, request.query.get("after", ""))
-        return web.json_response(
-            {
-                "items": [one.wire() for one in found],
-                "hasMore": more,
-                "storeRevision": store.revision,
-            }
+        return _answer(
+            b'{"items":[%s],"hasMore":%s,"storeRevision":%d}'
+            % (
+                b",".join(one.text() for one in found),
+                json.dumps(more).encode(),
+                store.revision,
+            )
         )
 
     return handle
@@ -209,8 +229,9 @@
     events = await store.wait(kind, after, int(query["waitMs"]) / 1000)
     if not store.knows(after):
         return web.Response(status=410)
-    return web.json_response(
-        {"events": events, "storeRevision": store.revision}
+    return _answer(
+        b'{"events":[%s],"storeRevision":%d}'
+        % (b",".join(events), store.revision)
     )
 
 
@@ -220,11 +241,11 @@
         kind, name = request.match_info["kind"], body["metadata"]["name"]
         found = store.get(kind, name)
         if found is not None:
-            return web.json_response(found.wire(), status=409)
+            return _answer(found.text(), 409)
         created = Stored(name, 0, store.revision + 1, body.get("spec"))
         created.finalizers = body["metadata"].get("finalizers", [])
         await store.write(kind, created)
-        return web.json_response(created.wire())
+        return _answer(created.text())
 
     return handle
 
@@ -235,7 +256,7 @@
         found = store.get(info["kind"], info["name"])
         if found is None:
             return web.Response(status=404)
-        return web.json_response(found.wire())
+        return _answer(found.text())
 
     return handle
 
@@ -249,8 +270,9 @@
             return web.Response(status=404)
         expected = body.get("metadata", {}).get("revision")
         if expected is not None and expected != found.revision:
-            return web.json_response(found.wire(), status=409)
-        before = found.wire()
+            return _answer(found.text(), 409)
+        before = found.text()
+        found.raw = None
         if status:
             found.status = body.get("status")
         else:
@@ -259,9 +281,9 @@
             found.finalizers = found.finalizers if given is None else given
         if found.deleting and not found.finalizers:
             await store.write(kind, found, deleted=True)
-        elif found.wire() != before:
+        elif found.text() != before:
             await store.write(kind, found)
-        return web.json_response(found.wire())
+        return _answer(found.text())
 
     return handle
 
@@ -274,13 +296,13 @@
             return web.Response(status=404)
         expected = request.query.get("revision")
         if expected is not None and int(expected) != found.revision:
-            return web.json_response(found.wire(), status=409)
+            return _answer(found.text(), 409)
         if found.finalizers:
             found.deleting = True
             await store.write(kind, found)
         else:
             await store.write(kind, found, deleted=True)
-        return web.json_response(found.wire())
+        return _answer(found.text())
 
     return handle
 
