Refuse a record with a number, port or host that no daemon states

Seen: a record of another writer with a port of 70,000, a negative count, a number of up to 400 digits or a host with a NUL was taken for a daemon's. A number beyond 64 bits can't be sent on to other daemons, and its encoding raised where a connection begins. A deep record or message raised RecursionError past the handler that logs it and passes it over. Cause: only the types of fields were checked, and one kind of error caught. Change: decoding a record checks that its counts fit 53 bits, that the port is a port and that the host is printable ASCII; RecursionError is an invalid record or message like any other. Messages between daemons keep their types, since other versions write them. Why it works: what is decoded can be dialled, compared and sent on.

--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -13,6 +13,9 @@
 _LENGTH = struct.Struct(">I")
 # The largest body that callers may send, and its head.
 _MAX_MESSAGE_BYTES = (64 << 20) + (1 << 17)
+# A decoder raises RecursionError at what is nested too deep for the stack that
+# is left.
+DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 class Statement(msgspec.Struct, frozen=True):
@@ -373,7 +376,7 @@
 def _decode(payload: memoryview) -> Message:
     try:
         return _DECODER.decode(payload)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise errors.InvalidMessageError(
             f"message can't be decoded ({error}): run the same version of the "
             "daemon on every VM"
--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import random
+import re
 import typing
 
 import msgspec
@@ -28,6 +29,10 @@
 # A fleet of up to this size needs no delay.
 _UNDELAYED_FLEET_SIZE = 10
 _MAX_BATCHING_DELAY_S = 3.0
+# Far above any count or time in milliseconds, and exact as a float.
+MAX_COUNT = 1 << 53
+_MAX_PORT = 65_535
+_HOST = re.compile(r"[!-~]{1,253}")
 
 _log = structlog.get_logger()
 
@@ -65,13 +70,38 @@
         errors.InvalidMessageError: The value isn't a valid record.
     """
     try:
-        return _DECODER.decode(value)
-    except msgspec.MsgspecError as error:
+        record = _DECODER.decode(value)
+        _check(record)
+        return record
+    except (ValueError, *frames.DECODING_ERRORS) as error:
         raise errors.InvalidMessageError(
             f"record can't be decoded ({error}): only daemons write this kind"
         ) from error
 
 
+def _check(record: Record) -> None:
+    """Raises ValueError if a record has a value that no daemon states."""
+    statement = record.statement
+    if not statement.daemon:
+        raise ValueError("daemon has no name")
+    if not _HOST.fullmatch(statement.host):
+        raise ValueError("host isn't a host")
+    if not 1 <= statement.port <= _MAX_PORT:
+        raise ValueError(f"port isn't from 1 to {_MAX_PORT}")
+    counts = [
+        statement.boot,
+        statement.serial,
+        statement.slots,
+        statement.born_ms,
+        record.born_ms,
+        record.sequence,
+    ]
+    for report in record.suspects:
+        counts += [report.crashes, report.last_ms]
+    if min(counts) < 0 or max(counts) > MAX_COUNT:
+        raise ValueError(f"a number isn't from 0 to {MAX_COUNT}")
+
+
 def stored_state(record: Record) -> backend.StoredState:
     """Returns the backend server's state as stored in a record."""
     statement = record.statement
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 from aiohttp import web
 
 from savorybend.internal import errors
 from savorybend.platform import objects
+from savorybend.relay import frames
+from savorybend.relay import presence
 from savorybend.relay import settings
 from savorybend.relay import store
 from savorybend.relay import traffic
@@ -125,3 +128,23 @@
         await client.delete(store.DAEMONS, name, found.revision)
         assert not (await client.list(store.DAEMONS)).objects
         assert await client.get(store.CONFIGURATION, "main")
+
+
+@_parametrize(oddentries.records())
+def test_a_record_that_names_no_daemon_to_use_is_refused(raw):
+    with pytest.raises(errors.InvalidMessageError):
+        presence.decode(raw)
+
+
+def test_the_record_that_the_odd_ones_are_made_from_is_valid():
+    assert presence.decode(oddentries.record()).statement.daemon == "odd"
+
+
+@pytest.mark.parametrize("depth", [1_000, 100_000])
+def test_a_deep_message_of_a_peer_is_refused_as_any_other(depth):
+    # RecursionError went past the handler that logs and ends the connection.
+    payload = msgspec.msgpack.encode(frames.Cancel(1))
+    deep = b"\x93" + payload[1:] + b"\x91" * depth + b"\xc0"
+    message = len(deep).to_bytes(4) + deep
+    with pytest.raises(errors.InvalidMessageError):
+        list(frames.FrameDecoder().feed(message))
