Take a record only for the daemon under whose name it is stored

Seen: an entry of another writer that named a daemon, with a higher boot number, was taken for that daemon's newest statement: calls went to the address that it gave, and what the daemon itself said was older. Cause: the name of the stored object and the one in its value weren't compared. Change: decoding a stored record compares them, for what is learned, restored and compared with the own record. Why it works: each daemon writes under its own name only.

--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -63,27 +63,31 @@
 _DECODER = msgspec.json.Decoder(Record)
 
 
-def decode(value: bytes) -> Record:
+def decode(stored: store.StoredObject) -> Record:
     """Decodes a stored record.
 
     Raises:
-        errors.InvalidMessageError: The value isn't a valid record.
+        errors.InvalidMessageError: The object isn't a valid record, or it is
+            that of a daemon of another name.
     """
     try:
-        record = _DECODER.decode(value)
+        record = _DECODER.decode(stored.value)
         _check(record)
-        return record
     except (ValueError, *frames.DECODING_ERRORS) as error:
         raise errors.InvalidMessageError(
             f"record can't be decoded ({error}): only daemons write this kind"
         ) from error
+    if record.statement.daemon != stored.name:
+        raise errors.InvalidMessageError(
+            f"record of {record.statement.daemon} is stored under another "
+            "name: only the daemon itself writes its record"
+        )
+    return record
 
 
 def _check(record: Record) -> None:
     """Raises ValueError if a record has a value that no daemon states."""
     statement = record.statement
-    if not statement.daemon:
-        raise ValueError("daemon has no name")
     if not _HOST.fullmatch(statement.host):
         raise ValueError("host isn't a host")
     if not 1 <= statement.port <= _MAX_PORT:
@@ -147,7 +151,7 @@
         if isinstance(stored_object, sentinels.Absence):
             return stored_object
         self._revision = stored_object.revision
-        return decode(stored_object.value)
+        return decode(stored_object)
 
     def publish(self, record: Record) -> None:
         """Schedules a record to be written by `run`, unless it is removed."""
@@ -193,7 +197,7 @@
         self._era = era
         self._revision = found.revision
         try:
-            self._stored = decode(found.value)
+            self._stored = decode(found)
         except errors.InvalidMessageError as error:
             _log.warning("own_record_invalid", error=str(error))
             self._stored = None
--- a/src/savorybend/relay/storeupdates.py
+++ b/src/savorybend/relay/storeupdates.py
@@ -104,7 +104,7 @@
 
     def _learn(self, stored_object: store.StoredObject) -> None:
         try:
-            record = presence.decode(stored_object.value)
+            record = presence.decode(stored_object)
         except errors.InvalidMessageError as error:
             _log.warning(
                 "record_passed_over", name=stored_object.name, error=str(error)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -130,14 +130,19 @@
         assert await client.get(store.CONFIGURATION, "main")
 
 
+def _stored(value):
+    return store.StoredObject(oddentries.NAME, 1, value)
+
+
 @_parametrize(oddentries.records())
 def test_a_record_that_names_no_daemon_to_use_is_refused(raw):
     with pytest.raises(errors.InvalidMessageError):
-        presence.decode(raw)
+        presence.decode(_stored(raw))
 
 
 def test_the_record_that_the_odd_ones_are_made_from_is_valid():
-    assert presence.decode(oddentries.record()).statement.daemon == "odd"
+    record = presence.decode(_stored(oddentries.record()))
+    assert record.statement.daemon == oddentries.NAME
 
 
 @pytest.mark.parametrize("depth", [1_000, 100_000])
--- a/tests/relay/test_presence.py
+++ b/tests/relay/test_presence.py
@@ -72,7 +72,7 @@
                 on_stored(publisher)
     finally:
         writer.cancel()
-    return presence.decode(client.stored.value)
+    return presence.decode(client.stored)
 
 
 async def test_each_change_is_stored():
@@ -202,7 +202,7 @@
 
 def test_invalid_record_is_rejected():
     with pytest.raises(errors.InvalidMessageError):
-        presence.decode(b'{"statement":{}}')
+        presence.decode(store.StoredObject("a", 1, b'{"statement":{}}'))
 
 
 async def test_a_removed_record_is_not_written_again():
@@ -254,3 +254,12 @@
     assert not publisher.note_listed(older, 0)
     assert publisher.up_to_date
     writer.cancel()
+
+
+async def test_what_is_stored_of_another_daemon_is_not_restored():
+    client = _Store()
+    record = presence.Record(samples.statement("b", boot=9), "ready", 5, 1)
+    client._write(msgspec.json.encode(record))
+    publisher = presence.Publisher("a", client, random.Random(1))
+    with pytest.raises(errors.InvalidMessageError):
+        await publisher.restore()
