Refuse announcements, configurations and settings that hold odd values

Seen: an announcement that is nested deeply, or has a number that daemons can't send to each other, raised past the handler that answers 400, or was taken and spoilt the daemon's own record. Deep configurations and settings raised RecursionError past their readers; the settings are read again while the daemon runs. A duration could be NaN, infinite or negative, a port 70,000, a configuration's version of any length. Cause: the types of fields were checked, their ranges weren't, and one kind of error was caught. Change: counts fit 53 bits, as in records; durations are finite and not negative; versions have up to 16 hexadecimal digits; ports are ports; a settings file that is no text is refused as any other. Why it works: each decoder returns a value in its range or its own error, which a property over odd values in every place of a document checks.

--- a/src/savorybend/platform/announcements.py
+++ b/src/savorybend/platform/announcements.py
@@ -9,6 +9,8 @@
 from savorybend.platform import names
 from savorybend.relay import backend
 from savorybend.relay import callers
+from savorybend.relay import frames
+from savorybend.relay import presence
 
 _DRAINING = "draining"
 _READY = "ready"
@@ -19,14 +21,17 @@
 _log = structlog.get_logger()
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=presence.MAX_COUNT)]
+
+
 class _Info(msgspec.Struct):
     service: str
-    slots: int
+    slots: _Count
 
 
 class _Status(msgspec.Struct):
     state: str
-    sequence: int
+    sequence: _Count
     cold: str = msgspec.field(name="coldRemaining", default="0ms")
 
 
@@ -34,11 +39,11 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: _Count = 0
 
 
 class _Leave(msgspec.Struct):
-    born: int = 0
+    born: _Count = 0
 
 
 class Listener(typing.Protocol):
@@ -80,7 +85,7 @@
                 )
                 return
             born_ms = _born_ms(exchange.body)
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, *frames.DECODING_ERRORS) as error:
             _log.warning(
                 "announcement_invalid", instance=instance, error=str(error)
             )
--- a/src/savorybend/platform/configuration.py
+++ b/src/savorybend/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decodes the operator's configuration into this system's types."""
 
 import collections
+import re
 import typing
 
 import msgspec
@@ -8,9 +9,14 @@
 from savorybend.internal import errors
 from savorybend.platform import names
 from savorybend.relay import calls
+from savorybend.relay import frames
 
 _IDEMPOTENT = "idempotent"
 _HEX_BASE = 16
+# Daemons send versions to each other as integers of 64 bits.
+_VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
+
+_Int = typing.Annotated[int, msgspec.Meta(ge=-(1 << 63), le=(1 << 63) - 1)]
 
 
 class _Weighted(msgspec.Struct):
@@ -28,29 +34,29 @@
     type: str
     timeout: str
     target_latency: str = msgspec.field(name="targetLatency", default="1000ms")
-    priority: int = 0
+    priority: _Int = 0
     service: str = ""
     targets: list[_Weighted] = msgspec.field(
         name="weightedTargets", default_factory=list
     )
-    attempts: int = msgspec.field(name="maxAttempts", default=1)
+    attempts: _Int = msgspec.field(name="maxAttempts", default=1)
     public: bool = False
 
 
 class _Service(msgspec.Struct):
-    connections: int = msgspec.field(name="maxConnections", default=0)
+    connections: _Int = msgspec.field(name="maxConnections", default=0)
 
 
 class _Tenant(msgspec.Struct):
     keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
-    priority: int | None = None
+    priority: _Int | None = None
     rate: float = msgspec.field(name="ratePerS", default=0.0)
     burst: float = 0.0
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int = msgspec.field(name="maxHeaderBytes")
-    body_bytes: int = msgspec.field(name="maxBodyBytes")
+    header_bytes: _Int = msgspec.field(name="maxHeaderBytes")
+    body_bytes: _Int = msgspec.field(name="maxBodyBytes")
     header_timeout: str = msgspec.field(name="headerTimeout")
     idle_timeout: str = msgspec.field(name="idleTimeout")
 
@@ -74,7 +80,7 @@
     """
     try:
         return _decode(document)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (ValueError, *frames.DECODING_ERRORS) as error:
         raise errors.InvalidConfigurationError(
             "$", f"{error}: submit a configuration that the store validates"
         ) from error
@@ -103,7 +109,7 @@
             case "limits":
                 limits = _limits(_spec(resource, _Limits))
     return calls.Configuration(
-        version=int(found.version, _HEX_BASE),
+        version=_version(found.version),
         routes={host: _longest_first(some) for host, some in routes.items()},
         accounts=accounts,
         keys=keys,
@@ -113,6 +119,12 @@
     )
 
 
+def _version(text: str) -> int:
+    if not _VERSION.fullmatch(text):
+        raise ValueError("version isn't of up to 16 hexadecimal digits")
+    return int(text, _HEX_BASE)
+
+
 def _spec(resource: _Resource, kind: type) -> typing.Any:
     return msgspec.json.decode(resource.spec, type=kind)
 
--- a/src/savorybend/platform/names.py
+++ b/src/savorybend/platform/names.py
@@ -1,5 +1,8 @@
 """Names of the platform's wire formats, each defined once."""
 
+import math
+import typing
+
 REQUEST_ID = b"request-id"
 DEADLINE = b"deadline-ms"
 KEY = b"api-key"
@@ -32,14 +35,20 @@
     """Returns a duration such as `1500ms` or `2.5s`, in seconds.
 
     Raises:
-        ValueError: The text isn't a duration.
+        ValueError: The text isn't a duration, or not a finite one from 0.
     """
-    if not isinstance(text, str):
-        raise ValueError(
-            f"{text!r} isn't a duration: write it like 1500ms or 2.5s"
-        )
+    if not isinstance(text, str) or not text.endswith("s"):
+        raise _no_duration(text)
     if text.endswith("ms"):
-        return float(text[:-2]) / MILLISECONDS_PER_S
-    if text.endswith("s"):
-        return float(text[:-1])
-    raise ValueError(f"{text!r} isn't a duration: write it like 1500ms or 2.5s")
+        found_s = float(text[:-2]) / MILLISECONDS_PER_S
+    else:
+        found_s = float(text[:-1])
+    if not 0 <= found_s < math.inf:
+        raise _no_duration(text)
+    return found_s
+
+
+def _no_duration(text: typing.Any) -> ValueError:
+    return ValueError(
+        f"{text!r} isn't a duration: write it like 1500ms or 2.5s"
+    )
--- a/src/savorybend/platform/settings.py
+++ b/src/savorybend/platform/settings.py
@@ -1,5 +1,6 @@
 """Decodes the platform's settings file into this system's settings."""
 
+import math
 import tomllib
 import typing
 
@@ -10,6 +11,8 @@
 from savorybend.relay import settings
 
 _BYTES_PER_MB = 1 << 20
+_MAX_PORT = 65_535
+_Port = typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 
 
 class _Listen(msgspec.Struct):
@@ -33,7 +36,7 @@
     node_name: str = msgspec.field(name="nodeName")
     ip: str
     zone: str
-    ports: list[int] = msgspec.field(name="internalPortRange")
+    ports: list[_Port] = msgspec.field(name="internalPortRange")
     heartbeat: str
     bounds: list[str]
     app_address: str = msgspec.field(name="appAddr")
@@ -54,7 +57,7 @@
         with open(path, "rb") as file:
             text = file.read().decode()
         return decode(text)
-    except OSError as error:
+    except (OSError, UnicodeError) as error:
         raise errors.InvalidSettingError(
             f"settings file {path!r} can't be read ({error}): name one in "
             f"{names.SETTINGS_VARIABLE}"
@@ -89,7 +92,7 @@
             retry_slack=_number(bounds, "budgetSlack", 40.0),
             retry_window_s=_time(bounds, "budgetWindow", 10.0),
         )
-    except (ValueError, IndexError, msgspec.ValidationError) as error:
+    except (ValueError, IndexError, RecursionError) as error:
         raise errors.InvalidSettingError(
             f"settings: {error}: correct the field in the settings file"
         ) from error
@@ -108,9 +111,15 @@
 
 
 def _number(bounds: dict[str, str], name: str, default: float) -> float:
-    return float(bounds[name]) if name in bounds else default
+    number = float(bounds[name]) if name in bounds else default
+    if not math.isfinite(number):
+        raise ValueError(f"{name} is {number}, which isn't finite")
+    return number
 
 
 def _address(text: typing.Any) -> settings.Address:
     host, _, port = text.rpartition(":")
-    return settings.Address(host, int(port))
+    number = int(port)
+    if not 0 <= number <= _MAX_PORT:
+        raise ValueError(f"{text!r} has no port from 0 to {_MAX_PORT}")
+    return settings.Address(host, number)
--- a/tests/platform/oddentries.py
+++ b/tests/platform/oddentries.py
@@ -1,6 +1,10 @@
 """Entries that another writer may leave among the daemons' records."""
 
+import copy
+import json
+
 import msgspec
+from hypothesis import strategies
 
 from savorybend.relay import presence
 from tests.relay import samples
@@ -40,6 +44,8 @@
     "line end": b'"127.0.0.1\\n"',
     "number": b"1",
 }
+_DURATIONS = [b'"nans"', b'"infms"', b'"-1ms"', b'"1e999s"', b'"1_0s"', b'"s"']
+_MARK = "odd-value-here"
 _PORTS = {"0": b"0", "65536": b"65536", "70000": b"70000"}
 _NUMBERS_OF_STATEMENTS = ["port", "boot", "serial", "slots", "born_ms"]
 _NUMBERS_OF_RECORDS = ["born_ms", "sequence"]
@@ -164,3 +170,55 @@
         )
         found[f"{of} beside"] = stored(record(), top=b',"other":%s' % text)
     return found
+
+
+def values():
+    """Returns a strategy of JSON that is odd in place of any value."""
+    depths = strategies.integers(1, 3_000)
+    return strategies.one_of(
+        strategies.sampled_from([*NUMBERS.values(), *_HOSTS.values()]),
+        strategies.sampled_from(_DURATIONS),
+        strategies.integers().map(lambda one: b"%d" % one),
+        strategies.integers(1, 6_000).map(lambda one: b"1" * one),
+        strategies.text(max_size=5).map(_encode_any),
+        depths.map(lambda depth: b"[" * depth + b"]" * depth),
+        depths.map(lambda depth: b'{"a":' * depth + b"1" + b"}" * depth),
+        strategies.binary(max_size=5),
+    )
+
+
+def documents(good):
+    """Returns a strategy of JSON documents with one odd value.
+
+    Args:
+        good: A valid document, of dictionaries, lists and leaves.
+    """
+    return strategies.tuples(
+        strategies.sampled_from(list(_places(good))), values()
+    ).map(lambda found: _replaced(good, *found))
+
+
+def _encode_any(text):
+    return json.dumps(text).encode()
+
+
+def _places(good, path=()):
+    yield path
+    items = ()
+    if isinstance(good, dict):
+        items = good.items()
+    elif isinstance(good, list):
+        items = enumerate(good)
+    for key, value in items:
+        yield from _places(value, (*path, key))
+
+
+def _replaced(good, path, odd):
+    if not path:
+        return odd
+    changed = copy.deepcopy(good)
+    inner = changed
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = _MARK
+    return json.dumps(changed).encode().replace(b'"%s"' % _MARK.encode(), odd)
