Test that daemons go on beside every kind of odd record

Real daemons follow the records while another writer leaves one entry of each kind, calls go on, a machine is added and a backend server drains.

--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -220,8 +220,7 @@
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         for number in range(len(services)):
-            host = f"127.0.21.{number + 1}"
-            await web.TCPSite(self._runner, host, self.base_port).start()
+            await self._open_store(number)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
         )
@@ -233,6 +232,19 @@
             await machine.start()
         await self.until(self._all_serve)
 
+    async def add(self, service, data_centre="dc-0"):
+        """Starts a further machine; returns it."""
+        number = len(self.machines)
+        await self._open_store(number)
+        machine = Machine(self, number, service, data_centre)
+        self.machines.append(machine)
+        await machine.start()
+        return machine
+
+    async def _open_store(self, number):
+        host = f"127.0.21.{number + 1}"
+        await web.TCPSite(self._runner, host, self.base_port).start()
+
     async def stop(self):
         """Stops all machines and the store."""
         for machine in self.machines:
--- a/tests/platform/oddentries.py
+++ b/tests/platform/oddentries.py
@@ -172,6 +172,22 @@
     return found
 
 
+def one_of_each_kind():
+    """Returns objects of all kinds that name no daemon, without repetitions.
+
+    Returns:
+        Objects by name.
+    """
+    odd = {**without_a_name(), **without_a_revision(), **with_odd_specs()}
+    found = {}
+    for of, raw in odd.items():
+        if "objects" in of or "brackets" in of:
+            continue
+        name = f"odd-{len(found)}"
+        found[name] = raw.replace(b'"odd"', b'"%s"' % name.encode())
+    return found
+
+
 def values():
     """Returns a strategy of JSON that is odd in place of any value."""
     depths = strategies.integers(1, 3_000)
