Give each call to a backend server a connection of its own

What callers saw: at the own interface a call got a copy of the answer to an earlier one, success or 'not run', in place of its own answer. Cause: the HTTP library puts a connection back into its pool though more than the answer was or is received on it, and takes what it finds there for the answer to the next request. Nothing ties an answer to its request but the connection. Change: one session for the backend server, the store and other daemons' admin pages, whose connections carry one request each. Why it works: what a server writes beyond an answer stays on the connection of that answer, and no other request is sent there.

--- a/src/savorybend/internal/assembly.py
+++ b/src/savorybend/internal/assembly.py
@@ -21,6 +21,7 @@
 from savorybend.internal import peerkeys
 from savorybend.internal import peers
 from savorybend.internal import platform
+from savorybend.internal import sessions
 from savorybend.internal import settings as settings_module
 from savorybend.internal import signing
 from savorybend.internal import snapshot
@@ -47,7 +48,6 @@
         self,
         settings: settings_module.Settings,
         session: aiohttp.ClientSession,
-        platform_session: aiohttp.ClientSession,
     ):
         self._settings = settings
         self._session = session
@@ -62,7 +62,7 @@
             self._directory, keys, self._timers
         )
         self._platform = platform.create_platform(
-            settings.platform_url, platform_session
+            settings.platform_url, session
         )
         self._configuration = configstore.create_store(clock)
         self._fleet = self._create_fleet()
@@ -245,21 +245,5 @@
 
 async def run(settings: settings_module.Settings) -> None:
     """Runs a daemon until a signal asks for a graceful shutdown."""
-    async with (
-        _create_session(aiohttp.TCPConnector(limit=0)) as session,
-        # The platform is asked rarely, and an idle connection may have gone
-        # silent since; a new one for each call works if the platform does.
-        _create_session(
-            aiohttp.TCPConnector(limit=0, force_close=True)
-        ) as platform_session,
-    ):
-        await Daemon(settings, session, platform_session).run()
-
-
-def _create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        timeout=aiohttp.ClientTimeout(total=None),
-    )
+    async with sessions.create_session() as session:
+        await Daemon(settings, session).run()
