Open a connection for each request of savorybendctl

What operators saw: `config submit` said that a version was submitted which the store had refused, if the store wrote its answer to the read twice. Change: the command uses the session that opens one for each request. Evidence: both tests of tests/unit/test_ctl_answers.py failed with the change of the source taken out: exit code 0 in place of the conflict's, and a TypeError as the daemons were taken for a status. They pass with it, and so does test_operators. Why it works: a copy stays on the connection of the read.

--- a/src/savorybend/internal/ctl/commands.py
+++ b/src/savorybend/internal/ctl/commands.py
@@ -12,6 +12,7 @@
 from savorybend.internal import keys
 from savorybend.internal import platform
 from savorybend.internal import requestids
+from savorybend.internal import sessions
 from savorybend.internal import settings
 from savorybend.internal.ctl import configuration
 from savorybend.internal.ctl import exits
@@ -203,7 +204,7 @@
             return exits.OK if found else exits.FAILED
         case ("config", "check"):
             return configuration.check(configuration.read(options.file), print)
-    async with aiohttp.ClientSession() as session:
+    async with sessions.create_session() as session:
         if options.topic == "config" and options.action not in _FLEET_ACTIONS:
             return await _run_configuration(options, session)
         return await _run_fleet(options, session)
