Take an answer without length as broken off if its connection is reset

What callers saw: a success with a part of the body, framed as the whole, after a backend server was lost while it wrote an answer without length. Cause: the HTTP library ends such a body at the end of the connection, whether it ended in good order or not. Change: the response keeps how its connection ended; the reader of a body that ends with the connection looks at it. Evidence: test_an_answer_without_length_ends_with_its_connection failed with the change of the source taken out and passes. Cut at every byte, answers framed by length or in chunks were found broken off before and are now. Tests: test_backend_answers, test_serving and test_streams pass. Why it works: a clean end is the only end such an answer has; a reset is none.

--- a/src/savorybend/internal/executions.py
+++ b/src/savorybend/internal/executions.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from savorybend.internal import backendanswers
 from savorybend.internal import bodies
 from savorybend.internal import calls
 from savorybend.internal import concurrency
@@ -104,7 +105,7 @@
         )
         self._parts.gate.release(self._permit, report)
 
-    def end_of(self, response: aiohttp.ClientResponse):
+    def end_of(self, response: backendanswers.Response):
         """Returns the callback for the end of a streamed answer.
 
         Its argument says whether the answer arrived in full.
@@ -121,7 +122,7 @@
 
 
 def outcome_of(
-    live_request: handles.LiveRequest, response: aiohttp.ClientResponse
+    live_request: handles.LiveRequest, response: backendanswers.Response
 ) -> tuple[outcomes.Outcome, str]:
     """Returns the outcome of a backend server's answer, and its reason."""
     stated = _STATED_OUTCOMES.get(response.headers.get(headers.OUTCOME, ""))
@@ -157,7 +158,7 @@
 
 
 def create_reader(
-    response: aiohttp.ClientResponse,
+    response: backendanswers.Response,
     on_broken: collections.abc.Callable[[], None],
 ):
     """Returns a function that reads an answer's body in chunks.
@@ -172,8 +173,12 @@
 
     async def read() -> bytes:
         try:
-            return await response.content.readany()
-        except (aiohttp.ClientError, OSError) as error:
+            return await response.read_part()
+        except (
+            aiohttp.ClientError,
+            OSError,
+            errors.AnswerLostError,
+        ) as error:
             on_broken()
             raise errors.AnswerLostError(
                 f"the backend server's answer broke off ({error}): ask about "
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from savorybend.internal import backendanswers
 from savorybend.internal import backendserver
 from savorybend.internal import bodies
 from savorybend.internal import calls
@@ -156,7 +157,7 @@
         execution: executions.Execution,
         body: bodies.Body,
         remaining_s: float,
-    ) -> aiohttp.ClientResponse:
+    ) -> backendanswers.Response:
         call = execution.call
         sent_headers = [
             *call.headers,
@@ -183,7 +184,7 @@
     async def _create_answer(
         self,
         execution: executions.Execution,
-        response: aiohttp.ClientResponse,
+        response: backendanswers.Response,
     ) -> calls.Answer:
         outcome, reason = executions.outcome_of(
             execution.live_request, response
--- a/src/savorybend/internal/sessions.py
+++ b/src/savorybend/internal/sessions.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from savorybend.internal import backendanswers
+
 
 def create_session() -> aiohttp.ClientSession:
     """Returns a session that opens a connection for each request."""
@@ -14,5 +16,6 @@
         connector=aiohttp.TCPConnector(limit=0, force_close=True),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        response_class=backendanswers.Response,
         timeout=aiohttp.ClientTimeout(total=None),
     )
--- a/tests/unit/test_backend_answers.py
+++ b/tests/unit/test_backend_answers.py
@@ -240,6 +240,25 @@
             assert _is_lost(read), whole[:cut]
 
 
+async def test_an_answer_without_length_ends_with_its_connection():
+    begun = b"HTTP/1.1 200 OK\r\n\r\nsome of it"
+    ended = await _call_once(begun, end=rawbackend.Exchange.end)
+    assert ended == _Read(200, "ran", "", b"some of it")
+    reset = await _call_once(begun, end=rawbackend.Exchange.reset)
+    assert _is_lost(reset)
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", 200), ("GET", 204), ("GET", 304)]
+)
+async def test_an_answer_that_has_no_body_is_whole_at_its_heads_end(
+    method, status
+):
+    head = f"HTTP/1.1 {status} Some Reason\r\n\r\n".encode()
+    read = await _call_once(head, method=method)
+    assert read == _Read(status, "ran", "", b"")
+
+
 @pytest.mark.parametrize("status", [100, 102, 103])
 async def test_an_interim_response_is_not_the_answer(status):
     interim = f"HTTP/1.1 {status} Interim\r\nLink: x\r\n\r\n".encode()
