Refuse a backend server's answer within which another one begins

What callers saw: a 200 with the body of the 500 that the backend server wrote next, when its answer broke off in the reason phrase or a header and was begun again on the call's connection; or a body made of two answers. Cause: the HTTP library takes the rest of a head or body from whatever follows. Change: an answer with a status line in its reason phrase or a header isn't used, nor one without length whose body holds one, nor one that more follows and whose body holds one or ends within one. A 101 isn't used either. The backend server isn't noted as crashed; the log event `answer_unusable` says what was wrong. Left: a body of known length that takes in the begin of another answer isn't found when nothing has arrived behind its end as it is read. Why it works: whatever breaks off, the next answer begins with a status line.

--- a/src/savorybend/internal/backendanswers.py
+++ b/src/savorybend/internal/backendanswers.py
@@ -1,48 +1,115 @@
-"""Responses of backend servers, and what shows that one isn't whole."""
+"""Responses of backend servers, and what shows that one isn't whole or own.
+
+A connection carries one request, so its response belongs to that request. What
+is left to find are a response that breaks off without its framing showing it,
+and one that is joined from two, since the server broke off and began again.
+"""
 
 import asyncio
+import re
 
 import aiohttp
+from aiohttp import client_proto
 from aiohttp import connector
+from aiohttp import http
 
 from savorybend.internal import errors
-
+from savorybend.internal import logs
+
+_PROTOCOL = b"HTTP/"
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+_STATUS_LINE_BYTES = 12
+# What a status line leaves at the end of a body that is cut within it.
+_CUT_STATUS_LINE = re.compile(
+    rb"H(T(T(P(/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?)?)?)?)?\Z"
+)
+_JOINED = "a response within a response"
+_SWITCHING_PROTOCOLS = 101
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 
+_log = logs.get()
+
 
 class Response(aiohttp.ClientResponse):
     """A response that is the only one on its connection."""
 
     _connection_end: asyncio.Future | None = None
+    _only_protocol: client_proto.ResponseHandler | None = None
+    _request_id = ""
+    _last_bytes = b""
+    _holds_status_line = False
 
     async def start(self, connection: connector.Connection) -> "Response":
         """Receives the head; see the base class."""
+        self._only_protocol = connection.protocol
         self._connection_end = connection.protocol.closed
         if self._connection_end is not None:
             self._connection_end.add_done_callback(_retrieve)
         await super().start(connection)
         return self
 
+    def check_head(self, request_id: str) -> None:
+        """Checks that the head can be that of a request's response.
+
+        Raises:
+            errors.AnswerUnusableError: It can't.
+        """
+        self._request_id = request_id
+        if self.status == _SWITCHING_PROTOCOLS:
+            raise self._unusable("a change of protocol that wasn't asked for")
+        if _PROTOCOL.decode() in self.reason or any(
+            _STATUS_LINE.search(value) for _, value in self.raw_headers
+        ):
+            raise self._unusable(_JOINED)
+
+    async def read_whole(self) -> bytes:
+        """Returns the body.
+
+        Raises:
+            aiohttp.ClientError: The body broke off.
+            errors.AnswerLostError: The body broke off.
+            errors.AnswerUnusableError: The body is joined from two responses.
+        """
+        data = await self.read()
+        self._look_through(data)
+        self._check_end()
+        return data
+
     async def read_part(self) -> bytes:
         """Returns the next part of the body, empty at the end.
 
         Raises:
             aiohttp.ClientError: The body broke off.
             errors.AnswerLostError: The body broke off.
+            errors.AnswerUnusableError: The body is joined from two responses.
         """
         data = await self.content.readany()
-        if not data:
+        if data:
+            self._look_through(data)
+        else:
             self._check_end()
         return data
 
+    def _look_through(self, data: bytes) -> None:
+        seen = self._last_bytes + data
+        if _PROTOCOL in seen and _STATUS_LINE.search(seen):
+            self._holds_status_line = True
+        self._last_bytes = seen[1 - _STATUS_LINE_BYTES :]
+
     def _check_end(self) -> None:
-        if self._ends_with_connection() and not _ended_in_good_order(
-            self._connection_end
+        if self._ends_with_connection():
+            if not _ended_in_good_order(self._connection_end):
+                raise errors.AnswerLostError(
+                    "the connection was reset within an answer without length"
+                )
+            if self._holds_status_line:
+                raise self._unusable(_JOINED)
+            return
+        if self._is_followed() and (
+            self._holds_status_line or _CUT_STATUS_LINE.search(self._last_bytes)
         ):
-            raise errors.AnswerLostError(
-                "the connection was reset within an answer without length"
-            )
+            raise self._unusable(_JOINED)
 
     def _ends_with_connection(self) -> bool:
         if self.method == "HEAD" or self.status in (_NO_CONTENT, _NOT_MODIFIED):
@@ -50,6 +117,22 @@
         coding = self.headers.get("Transfer-Encoding", "")
         return self.content_length is None and "chunked" not in coding.lower()
 
+    def _is_followed(self) -> bool:
+        """Returns whether more was received behind the response."""
+        protocol = self._only_protocol
+        return len(protocol) > 0 or isinstance(
+            protocol.exception(), http.HttpProcessingError
+        )
+
+    def _unusable(self, problem: str) -> errors.AnswerUnusableError:
+        _log.warning(
+            "answer_unusable", request_id=self._request_id, problem=problem
+        )
+        return errors.AnswerUnusableError(
+            f"the backend server's answer holds {problem}: look at what it "
+            "writes to the request's connection"
+        )
+
 
 def _retrieve(connection_end: asyncio.Future) -> None:
     # Without this the event loop logs the error of a connection's end.
--- a/src/savorybend/internal/errors.py
+++ b/src/savorybend/internal/errors.py
@@ -45,5 +45,9 @@
     """A peer or backend server vanished before its whole answer arrived."""
 
 
+class AnswerUnusableError(AnswerLostError):
+    """What a backend server wrote isn't the answer to the request."""
+
+
 class InvalidChartError(SavorybendError):
     """A state chart file is invalid, or it lacks a requested transition."""
--- a/src/savorybend/internal/executions.py
+++ b/src/savorybend/internal/executions.py
@@ -174,6 +174,8 @@
     async def read() -> bytes:
         try:
             return await response.read_part()
+        except errors.AnswerUnusableError:
+            raise
         except (
             aiohttp.ClientError,
             OSError,
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -145,6 +145,10 @@
         except TimeoutError:
             execution.end(whole=False)
             return self._unknown(execution, outcomes.TOO_LATE)
+        except errors.AnswerUnusableError:
+            # The backend server goes on, so it isn't noted as crashed.
+            execution.end(whole=False)
+            return self._unknown(execution, outcomes.BACKEND_SERVER_LOST)
         except (aiohttp.ClientError, OSError, errors.AnswerLostError):
             execution.end(whole=False)
             if execution.body_lost:
@@ -186,12 +190,17 @@
         execution: executions.Execution,
         response: backendanswers.Response,
     ) -> calls.Answer:
+        try:
+            response.check_head(execution.call.request_id)
+        except errors.AnswerUnusableError:
+            response.close()
+            raise
         outcome, reason = executions.outcome_of(
             execution.live_request, response
         )
         length = response.content_length
         if length is not None and length <= bodies.INLINE_BYTES:
-            body = bodies.WholeBody(await response.read())
+            body = bodies.WholeBody(await response.read_whole())
             execution.note_answer()
             execution.end(whole=True)
         else:
--- a/tests/unit/test_backend_answers.py
+++ b/tests/unit/test_backend_answers.py
@@ -227,6 +227,17 @@
         assert _is_second(second), _FIRST[:cut]
 
 
+@pytest.mark.parametrize("pieces", [1, 2])
+async def test_an_answer_that_is_begun_twice_is_not_joined(pieces):
+    # The status is that of the answer begun last, which is the whole one.
+    for cut in range(1, len(_FIRST)):
+        segments = [_FIRST[:cut], _SECOND]
+        if pieces == 1:
+            segments = [b"".join(segments)]
+        read = await _call_once(*segments)
+        assert _is_lost(read), _FIRST[:cut]
+
+
 @pytest.mark.parametrize("end", ["end", "reset"])
 async def test_an_answer_that_breaks_off_is_lost(end):
     chunked = (
@@ -259,8 +270,38 @@
     assert read == _Read(status, "ran", "", b"")
 
 
+async def test_an_answer_without_length_is_not_joined_to_another():
+    begun = b"HTTP/1.1 200 OK\r\n\r\nsome of it"
+    for segments in ((begun + _SECOND,), (begun, _SECOND[:7], _SECOND[7:])):
+        read = await _call_once(*segments, end=rawbackend.Exchange.end)
+        assert read.body is None
+
+
 @pytest.mark.parametrize("status", [100, 102, 103])
 async def test_an_interim_response_is_not_the_answer(status):
     interim = f"HTTP/1.1 {status} Interim\r\nLink: x\r\n\r\n".encode()
     for segments in ((interim + _SECOND,), (interim, interim, _SECOND)):
         assert _is_second(await _call_once(*segments))
+
+
+async def test_a_change_of_protocol_that_was_not_asked_for_is_no_answer():
+    head = (
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+    )
+    assert _is_lost(await _call_once(head))
+
+
+@pytest.mark.parametrize("size", [100, 10 * bodies.INLINE_BYTES])
+async def test_an_answer_about_the_protocol_is_whole(size):
+    # A body may hold what another response begins with.
+    body = b"HTTP/1.1 500 Internal Server Error\r\n".ljust(size, b".")
+    response = rawbackend.create_response(200, body)
+    assert (await _call_once(response)).body == body
+
+
+async def test_a_streamed_answer_that_is_begun_twice_is_not_joined():
+    body = bytes(2 * bodies.INLINE_BYTES)
+    first = rawbackend.create_response(200, body)
+    second = rawbackend.create_response(500, body)
+    read = await _call_once(first[:-10_000] + second)
+    assert read.body is None
