Use no answer of a backend server that names another request

What callers saw: a backend server that mixes up its requests wrote the answer to one to the connection of another, with the ID that it was for, and it was passed on; so was a refusal, as 'not run'. Cause: the ID in an answer wasn't looked at. Change: an answer with another ID, or with more than one, isn't used. One without an ID is used as before, and so is one with the ID of a child call, since backend servers may pass on the headers of a child call's answer. Evidence: the ten cases of the test that name another ID or two failed with the change of the source taken out and pass; the six others pass in both. Why it works: the daemon gave the backend server the ID, and no other request that is under way there has it but a repeat of the same one.

--- a/src/savorybend/internal/backendanswers.py
+++ b/src/savorybend/internal/backendanswers.py
@@ -14,6 +14,7 @@
 from aiohttp import http
 
 from savorybend.internal import errors
+from savorybend.internal import headers
 from savorybend.internal import logs
 
 _PROTOCOL = b"HTTP/"
@@ -62,6 +63,12 @@
             _STATUS_LINE.search(value) for _, value in self.raw_headers
         ):
             raise self._unusable(_JOINED)
+        named = self.headers.getall(headers.REQUEST_ID, [])
+        # A backend server that passes the headers of its child call's answer
+        # on names the child call.
+        own = [f"{name}/".startswith(f"{request_id}/") for name in named]
+        if len(own) > 1 or not all(own):
+            raise self._unusable("the ID of another request")
 
     async def read_whole(self) -> bytes:
         """Returns the body.
--- a/tests/unit/test_backend_answers.py
+++ b/tests/unit/test_backend_answers.py
@@ -291,6 +291,35 @@
     assert _is_lost(await _call_once(head))
 
 
+@pytest.mark.parametrize(
+    ("named", "used"),
+    [
+        ((), True),
+        (("front-1.1.a",), True),
+        # The headers of a child call's answer, passed on.
+        (("front-1.1.a/2",), True),
+        (("front-1.1.b",), False),
+        (("front-1.1.a1",), False),
+        (("",), False),
+        (("front-1.1.a", "front-1.1.b"), False),
+        (("front-1.1.a", "front-1.1.a"), False),
+    ],
+)
+@pytest.mark.parametrize("outcome", ["", "not-run"])
+async def test_an_answer_with_the_id_of_another_request_is_not_used(
+    named, used, outcome
+):
+    headers = [("Savorybend-Request-Id", name) for name in named]
+    if outcome:
+        headers.append(("Savorybend-Outcome", outcome))
+    response = rawbackend.create_response(503, b"", tuple(headers))
+    read = await _call_once(response, request_id="front-1.1.a")
+    if used:
+        assert read.outcome == (outcome or "ran")
+    else:
+        assert _is_lost(read)
+
+
 @pytest.mark.parametrize("size", [100, 10 * bodies.INLINE_BYTES])
 async def test_an_answer_about_the_protocol_is_whole(size):
     # A body may hold what another response begins with.
