Run all background tasks of a daemon in one place

Cause: four places started tasks, each with its own bookkeeping; errors were logged in one of them only, so that an unexpected error while a connection to a backend server or a daemon was opened left no line. A probe that failed so would have been the last one. Change: backgroundtasks starts them, logs errors and cancels what is left; the mark of a running probe is removed whatever happens.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -14,6 +14,7 @@
 from savorybend.relay import allowance
 from savorybend.relay import announcing
 from savorybend.relay import backend
+from savorybend.relay import backgroundtasks
 from savorybend.relay import callers
 from savorybend.relay import callqueue
 from savorybend.relay import capacity
@@ -102,7 +103,7 @@
         self._settings = loaded_settings
         self._adapter = adapter
         self._sink = sink
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = backgroundtasks.create_background_tasks()
         self._rng = random.Random()
         self._slow_ticks = 0
         clock = timers.SystemClock()
@@ -150,7 +151,7 @@
             loaded_settings.backend_server_address,
             adapter.backend,
             clock,
-            self._tasks,
+            self._tasks.start,
             loaded_settings.max_memory_bytes,
             self._server_terms.note_answer,
         )
@@ -160,7 +161,7 @@
             )
         )
         self._watchdog = watchdog.Watchdog(
-            self._server, self._pool, clock, self._tasks
+            self._server, self._pool, clock, self._tasks.start
         )
         self._fleet = fleet.create_fleet(
             fleet.Parts(
@@ -168,7 +169,7 @@
                 directory=self._directory,
                 catalog=self._catalog,
                 timers=self._timers,
-                tasks=self._tasks,
+                start=self._tasks.start,
                 traffic=adapter.traffic,
             )
         )
@@ -189,7 +190,7 @@
                 publisher=self._publisher,
                 suspects=self._suspects,
                 inquiry=self._inquiry,
-                start=self._start,
+                start=self._tasks.start,
             )
         )
         self._serving = serving.create_serving(
@@ -270,7 +271,7 @@
         )
         self._watch_signals()
         await self._listening.open()
-        self._start(self._own_record.take_over())
+        self._tasks.start(self._own_record.take_over())
         self._store_access.begin()
         self._timers.every(_TICK_INTERVAL_S, self._tick)
         self._timers.every(_SLOW_TICK_INTERVAL_S, self._slow_tick)
@@ -292,7 +293,7 @@
                 inquiry=self._inquiry,
                 publisher=self._publisher,
                 suspects=self._suspects,
-                start=self._start,
+                start=self._tasks.start,
                 announce=lambda: self._peer_server.announce(),
                 push=lambda message: self._peer_server.push(message),
                 on_record_lost=self._on_record_lost,
@@ -355,7 +356,7 @@
 
     def _create_announcing(self) -> announcing.Announcing:
         return announcing.create_announcing(
-            announcing.Parts(self._server, self._publisher, self._start)
+            announcing.Parts(self._server, self._publisher, self._tasks.start)
         )
 
     def _target(self, daemon: str) -> forwarding.Target:
@@ -428,16 +429,6 @@
         self._suspects.sweep()
         self._sink.start_interval()
 
-    def _start(self, work: collections.abc.Coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_end)
-
-    def _on_task_end(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error("task_failed", exc_info=task.exception())
-
     async def _stop(self) -> None:
         self._listening.close()
         self._peer_server.close()
@@ -445,8 +436,7 @@
             # Otherwise the record is kept: the daemon's next start must know
             # whether the backend server has left.
             await self._own_record.remove()
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         _log.info("daemon_stopped", busy=self._busy())
         self._sink.flush()
 
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -9,6 +9,7 @@
 from savorybend.internal import neighbours
 from savorybend.internal import timers
 from savorybend.relay import allowance
+from savorybend.relay import backgroundtasks
 from savorybend.relay import catalog
 from savorybend.relay import configurationfetch
 from savorybend.relay import directory
@@ -46,7 +47,7 @@
     directory: directory.Directory
     catalog: catalog.Catalog
     timers: timers.TimerService
-    tasks: set
+    start: backgroundtasks.Start
     traffic: traffic.Traffic
 
 
@@ -104,7 +105,7 @@
             events=self,
             clock=self._clock,
             timers=parts.timers,
-            tasks=parts.tasks,
+            start=parts.start,
             traffic=parts.traffic,
         )
 
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -12,6 +12,7 @@
 import structlog
 
 from savorybend.internal import timers
+from savorybend.relay import backgroundtasks
 from savorybend.relay import calls
 from savorybend.relay import frames
 from savorybend.relay import outcomes
@@ -296,9 +297,7 @@
         if self._dialing or self._stream is not None:
             return
         self._dialing = True
-        task = asyncio.get_running_loop().create_task(self._connect())
-        self._parts.tasks.add(task)
-        task.add_done_callback(self._parts.tasks.discard)
+        self._parts.start(self._connect())
 
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
@@ -454,5 +453,5 @@
     events: Events
     clock: timers.Clock
     timers: timers.TimerService
-    tasks: set
+    start: backgroundtasks.Start
     traffic: traffic.Traffic
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -11,6 +11,7 @@
 
 from savorybend.internal import timers
 from savorybend.relay import answerlog
+from savorybend.relay import backgroundtasks
 from savorybend.relay import calls
 from savorybend.relay import conditions
 from savorybend.relay import http1
@@ -98,7 +99,7 @@
         address: str,
         codec: Codec,
         clock: timers.Clock,
-        tasks: set,
+        start: backgroundtasks.Start,
         max_memory_bytes: int,
         on_answer: OnAnswer,
     ):
@@ -112,7 +113,7 @@
         self._address = (host, int(port))
         self._codec = codec
         self._clock = clock
-        self._tasks = tasks
+        self._start = start
         self._on_answer = on_answer
         self._answer_log = answerlog.create_answer_log()
         self._connection_numbers = itertools.count(1)
@@ -146,11 +147,7 @@
         if connection is not None:
             self._send(connection, dispatch, call, instance, callback)
             return dispatch
-        task = asyncio.get_running_loop().create_task(
-            self._dial(dispatch, call, instance, callback)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._start(self._dial(dispatch, call, instance, callback))
         return dispatch
 
     async def probe(self) -> bool:
--- a/src/savorybend/relay/watchdog.py
+++ b/src/savorybend/relay/watchdog.py
@@ -1,10 +1,10 @@
 """Detects that the backend server is lost or reachable again."""
 
-import asyncio
 import collections.abc
 
 from savorybend.internal import timers
 from savorybend.relay import backend
+from savorybend.relay import backgroundtasks
 from savorybend.relay import directory
 from savorybend.relay import pool
 
@@ -21,12 +21,12 @@
         server: backend.BackendServer,
         connections: pool.Pool,
         clock: timers.Clock,
-        tasks: set,
+        start: backgroundtasks.Start,
     ):
         self._server = server
         self._pool = connections
         self._clock = clock
-        self._tasks = tasks
+        self._start = start
         self._probing = False
 
     def tick(self, running: int) -> None:
@@ -60,14 +60,11 @@
         self._probing = True
         self._start(self._probe_once())
 
-    def _start(self, work: collections.abc.Coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _probe_once(self) -> None:
-        reached = await self._pool.probe()
-        self._probing = False
+        try:
+            reached = await self._pool.probe()
+        finally:
+            self._probing = False
         if reached:
             self._server.regain()
 
--- a/tests/relay/servers.py
+++ b/tests/relay/servers.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from savorybend.platform import headers
+from savorybend.relay import backgroundtasks
 from savorybend.relay import calls
 from savorybend.relay import pool
 from tests import fakes
@@ -86,12 +87,12 @@
         self.sent = []
         self.clock = fakes.create_clock()
         self.answers = []
-        self._tasks = set()
+        self._tasks = backgroundtasks.create_background_tasks()
         self.pool = pool.Pool(
             "127.0.0.1:1",
             headers.Backend(),
             self.clock,
-            self._tasks,
+            self._tasks.start,
             1 << 28,
             self.answers.append,
         )
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -7,6 +7,7 @@
 import pytest
 
 from savorybend.internal import timers
+from savorybend.relay import backgroundtasks
 from savorybend.relay import frames
 from savorybend.relay import links
 from savorybend.relay import outcomes
@@ -77,7 +78,7 @@
         _Events(),
         clock,
         timers.create_timer_service(clock),
-        tasks,
+        tasks.start,
         traffic.create_traffic(),
     )
 
@@ -87,7 +88,7 @@
 
     def __init__(self):
         self.serving = _Serving()
-        self.tasks = set()
+        self.tasks = backgroundtasks.create_background_tasks()
         self.server = None
         self.peer_server = None
         self.link = None
@@ -177,8 +178,7 @@
     finally:
         pair.link.close()
         pair.server.close()
-        for task in list(pair.tasks):
-            task.cancel()
+        pair.tasks.cancel()
 
 
 async def test_an_answer_that_was_ready_when_the_connection_broke_arrives():
@@ -307,7 +307,7 @@
         self.boot = 1
         self.streams = []
         self.said = []
-        self.tasks = set()
+        self.tasks = backgroundtasks.create_background_tasks()
         self.link = None
         self._servers = []
 
@@ -333,8 +333,7 @@
         self.link.close()
         for server in self._servers:
             server.close()
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
 
     def answer(self, stream, number, outcome):
         """Writes the outcome of a call."""
