Use the first whole answer, whatever follows it in its segment

Cause: used neither of two answers that differ. The users' pages say that what a server sends behind a complete response belongs to no request, so the first one is the answer; a call that ran and was answered ended as 502, which for one that isn't idempotent can't be mended by a repeat. Change: is taken back.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -225,10 +225,6 @@
                 surplus and responseparser.contains_status_line(body)
             ):
                 self._give_up("response within a response")
-            case responseparser.Response() if self._contradicted(
-                result, surplus
-            ):
-                self._give_up("answers that differ")
             case responseparser.Response():
                 for response in surplus:
                     self._note_surplus(answerlog.WITHOUT_REQUEST, response)
@@ -263,19 +259,6 @@
         self._note_surplus(answerlog.OF_ANOTHER_REQUEST, response)
         return None
 
-    def _contradicted(
-        self,
-        response: responseparser.Response,
-        surplus: list[responseparser.Response],
-    ) -> bool:
-        """Returns whether the request has another answer that differs."""
-        return any(
-            other != response
-            and self._expected.match(other.headers) is Match.OWN
-            for other in surplus
-            if other is not _UNKNOWN
-        )
-
     def _is_doubled(self, response: responseparser.Response) -> bool:
         """Returns whether a body holds the answer to its own request."""
         request_id = self._expected.request_id.encode("latin-1")
