Test broken-off, doubled and late bytes at the other readers

Cause: what the liveness check, callers' connections and the announcement listener do with such bytes was known by reading only. Change: tests of a request and an announcement that break off at any byte, of a second and a late answer to a caller, of an announcement that comes once more while its server is lost, and of bytes on a connection that a check opened.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -14,8 +14,10 @@
 from savorybend.relay import calls
 from savorybend.relay import outcomes
 from savorybend.relay import responseparser
+from tests import fakes
 from tests.platform import fleets
 from tests.relay import samples
+from tests.relay import transports
 
 _SETTINGS = """
 nodeName = "vm-1"
@@ -262,5 +264,25 @@
     assert status == 400
 
 
+def test_an_announcement_broken_off_at_any_byte_says_nothing():
+    body = json.dumps(_BEAT).encode()
+    text = (
+        b"POST /instances/i-1/heartbeat HTTP/1.1\r\nHost: h\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    )
+    for cut in range(len(text) + 1):
+        listener = _Listener()
+        handler = announcements.create_announcements(listener).handle
+        server = callers.CallerServer(
+            handler, fakes.create_clock(), calls.CallerLimits()
+        )
+        connection = server.create()
+        connection.connection_made(transports.RecordingTransport())
+        connection.data_received(text[:cut])
+        connection.eof_received()
+        connection.connection_lost(None)
+        assert len(listener.said) == (cut == len(text))
+
+
 def test_another_path_is_not_found():
     assert _announce(b"/elsewhere", b"")[1] == 404
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -181,6 +181,33 @@
     assert outcome == outcomes.Lost(outcomes.GARBLED)
 
 
+async def test_what_a_liveness_check_gets_answers_no_request():
+    # The check reads nothing; its connection is kept for a request.
+    written = servers.answer(b"a", 503, executed=False)
+    with servers.started() as server:
+        assert await server.pool.probe()
+        [checked] = server.connections
+        checked.write(written)
+        checked.deliver()
+        sent = await server.send("a")
+        sent.connection.write(_FIRST)
+        sent.connection.deliver()
+    assert checked.transport.aborted
+    assert sent.connection is not checked
+    assert [one.status for one in sent.outcomes] == [200]
+
+
+async def test_an_answer_on_a_checked_connection_belongs_to_its_request_only():
+    with servers.started() as server:
+        assert await server.pool.probe()
+        sent = await server.send("b")
+        sent.connection.write(servers.answer(b"a", 503, executed=False))
+        sent.connection.write(_NEXT)
+        sent.connection.deliver()
+    assert sent.connection is server.connections[0]
+    assert [one.status for one in sent.outcomes] == [500]
+
+
 async def test_the_next_request_is_not_sent_before_a_copy_was_read():
     with servers.started() as server:
         one = await server.send("a")
--- a/tests/relay/test_backend.py
+++ b/tests/relay/test_backend.py
@@ -130,6 +130,14 @@
     assert server.takes_calls
 
 
+def test_an_announcement_once_more_says_nothing_new_of_a_lost_server():
+    server = _server()
+    server.announce(samples.announcement())
+    server.lose("test")
+    server.announce(samples.announcement())
+    assert not server.takes_calls
+
+
 @hypothesis.given(
     order=strategies.permutations(range(1, 8)),
     drains_at=strategies.integers(1, 7),
--- a/tests/relay/test_http1.py
+++ b/tests/relay/test_http1.py
@@ -96,6 +96,46 @@
     assert left == [True]
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\nbody\r\n0\r\n\r\n",
+    ],
+)
+def test_a_request_broken_off_at_any_byte_is_not_passed_on(text):
+    for cut in range(len(text)):
+        seen = []
+        connection, transport = _connect(_callers(seen.append))
+        connection.data_received(text[:cut])
+        connection.eof_received()
+        connection.connection_lost(None)
+        assert (seen, transport.written) == ([], b"")
+
+
+def test_a_second_answer_to_a_request_is_not_sent():
+    seen = []
+    connection, transport = _connect(_callers(seen.append))
+    request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+    connection.data_received(request + request)
+    seen[0].reply(200, b"", b"first")
+    seen[0].reply(500, b"", b"again")
+    seen[1].reply(200, b"", b"second")
+    assert transport.written.count(b"HTTP/1.1 200 ") == 2
+    assert b"again" not in transport.written
+
+
+def test_an_answer_after_its_caller_left_is_not_sent():
+    seen = []
+    connection, transport = _connect(_callers(seen.append))
+    connection.data_received(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    transport.close()
+    connection.connection_lost(None)
+    seen[0].reply(200, b"", b"late")
+    assert transport.written == b""
+
+
 def test_unused_connections_end_when_there_are_too_many():
     # Refused callers reconnected until the process had no descriptors left, and
     # no connection was accepted for seconds.
