Promise nothing of a call after a late greeting of its sender's earlier start

What callers saw: by test, 'not run' for a call that isn't idempotent and was running at another daemon, so that it could run once more. It wasn't seen in use. Cause: a peer server forgot a sender's last number whenever another boot number greeted. The kernel sends a greeting that was lost again after its process has ended, so it can arrive behind that of the next start. Then the calls that were under way counted as never arrived. Change: the last number is kept by name and boot number, for the start that greets and the one before it. Why it works: whatever greets between, a call's number is compared with the last one that arrived of its own start. Such a greeting still ends the calls under way as lost, which promises nothing.

--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -42,7 +42,8 @@
         self._boots: dict[str, int] = {}
         self._calls: dict[tuple[str, int], _AcceptedCall] = {}
         self._finished: collections.deque[tuple[str, int]] = collections.deque()
-        self._last_numbers: dict[str, int] = {}
+        # By name and boot number of the sender.
+        self._last_numbers: dict[tuple[str, int], int] = {}
 
     @property
     def busy(self) -> int:
@@ -117,10 +118,7 @@
             # Data in flight on the old connection must not be read, since the
             # sender is about to be told that it never arrived.
             old.abort()
-        if self._boots.get(name) not in (None, message.statement.boot):
-            self._abandon(name)
-            self._last_numbers.pop(name, None)
-        self._boots[name] = message.statement.boot
+        self._note_boot(name, message.statement.boot)
         known = self._parts.events.terms_of(name)
         stream.send(frames.Hello(own.statement, own.version, own.feed, known))
         stream.told = own.statement
@@ -138,6 +136,18 @@
             stream.told = statement
         stream.send(frames.Pong(statement, own.version, own.load, own.feed))
 
+    def _note_boot(self, name: str, boot: int) -> None:
+        known = self._boots.get(name)
+        self._boots[name] = boot
+        if known in (None, boot):
+            return
+        self._abandon(name)
+        # A late Hello of an earlier start may precede another one of the
+        # known start, whose calls have arrived all the same.
+        for key in list(self._last_numbers):
+            if key[0] == name and key[1] not in (known, boot):
+                del self._last_numbers[key]
+
     def _abandon(self, name: str) -> None:
         """Cancels and removes the calls of an earlier start of a peer."""
         for key, accepted in list(self._calls.items()):
@@ -164,7 +174,7 @@
         call.deadline_s = self._parts.clock.now_s() + run.left_s
         call.target_latency_s = run.patience_s
         key = (stream.peer, run.number)
-        self._last_numbers[stream.peer] = run.number
+        self._last_numbers[stream.peer, self._boots[stream.peer]] = run.number
         accepted = _AcceptedCall(stream)
         self._calls[key] = accepted
 
@@ -221,7 +231,8 @@
 
     def _send_unknown(self, stream: streams.Stream, number: int) -> None:
         outcome: outcomes.Outcome = outcomes.Lost(outcomes.DAEMON_LOST)
-        if number > self._last_numbers.get(stream.peer, 0):
+        start = (stream.peer, self._boots.get(stream.peer, 0))
+        if number > self._last_numbers.get(start, 0):
             # The call never arrived, and can't arrive any more.
             outcome = outcomes.NotRun(outcomes.UNREACHABLE)
         stream.send(frames.Done(number, outcome, self._parts.own.load))
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -291,6 +291,33 @@
         assert pair.got == [_FAILED]
 
 
+async def _greet(port, boot):
+    """Greets a peer server as a start of the sender, on a new connection."""
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(
+        lambda: streams.Stream(
+            lambda *said: None, lambda ended: None, traffic.create_traffic()
+        ),
+        "127.0.0.1",
+        port,
+    )
+    stream.send(frames.Hello(samples.statement("a", boot=boot), 0))
+    stream._flush()
+
+
+async def test_a_late_greeting_of_an_earlier_start_makes_no_run_unrun():
+    # A greeting that was lost on its way is sent again by the kernel, also
+    # after its process has ended.
+    async with _pair() as pair:
+        pair.restart_sender()
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        await _greet(pair.port, boot=1)
+        await pair.until(lambda: pair.got)
+        assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
+        assert len(pair.serving.taken) == 1
+
+
 class _RawPeer:
     """A peer that says what the test says; it greets by itself.
 
