Promise nothing of calls sent before this daemon's boot number increased

What callers saw: by test, 'not run' for a call that isn't idempotent and was running at another daemon, so that it could run once more. It wasn't seen in use. Cause: a daemon whose clock was set back before its start takes a higher boot number once the store tells of it. At its next connection the peer takes that for a restart and forgets its calls; the link asked for them by `Resume`, and the peer took them for calls that never arrived. Change: a link takes another boot number of its own daemon as it takes one of the peer: calls that were sent before may have run. Why it works: `Resume` names only calls that the peer got under the boot number of the connection that it is sent on.

--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -31,6 +31,8 @@
 # For this long after a failure, calls fail without another attempt.
 _FAIL_FAST_S = 0.3
 
+_NO_BOOTS = (0, 0)
+
 _log = structlog.get_logger()
 
 
@@ -135,7 +137,9 @@
         self._stream: streams.Stream | None = None
         self._dialing = False
         self._handshake_done = False
-        self._peer_boot = 0
+        # Boot numbers of the peer and of this daemon at the last handshake.
+        self._boots = _NO_BOOTS
+        self._own_boot = 0
         self._received = 0
         self._backoff_s = _MIN_BACKOFF_S
         self._last_received_s = 0.0
@@ -320,6 +324,8 @@
         own = self._parts.own
         stream.remote = self.remote
         known = self._parts.events.terms_of(self.daemon)
+        # Increases within a start if the store knows a higher one.
+        self._own_boot = own.statement.boot
         stream.send(frames.Hello(own.statement, own.version, own.feed, known))
         self._last_received_s = self._parts.clock.now_s()
         self._last_ping_s = self._last_received_s + 1e-6
@@ -386,8 +392,10 @@
         self._queued.clear()
 
     def _resume(self, boot: int) -> None:
-        restarted = self._peer_boot not in (0, boot)
-        self._peer_boot = boot
+        boots = (boot, self._own_boot)
+        # The peer takes another boot number of this daemon for a restart too.
+        restarted = self._boots not in (_NO_BOOTS, boots)
+        self._boots = boots
         written = [sent for sent in self._sent.values() if sent.written]
         unwritten = [sent for sent in self._sent.values() if not sent.written]
         if restarted:
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -90,6 +90,7 @@
         self.peer_server = None
         self.link = None
         self.port = 0
+        self.sender = _Own("a", 1)
         self.got = []
         self.transports = []
 
@@ -107,7 +108,7 @@
         if self.link is None:
             self.link = links.Link(
                 samples.statement("b", port=self.port, boot=boot),
-                self._parts(_Own("a", 1)),
+                self._parts(self.sender),
                 itertools.count(1),
             )
             self.link.set_persistent(True)
@@ -291,6 +292,17 @@
         assert pair.got == [_FAILED]
 
 
+async def test_a_sender_that_learns_of_a_later_boot_is_promised_nothing():
+    # The clock was set back before its start, and the store says so.
+    async with _pair() as pair:
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        pair.sender.statement = samples.statement("a", port=1, boot=9)
+        pair.reset()
+        await pair.until(lambda: pair.got)
+        assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
+
+
 async def _greet(port, boot):
     """Greets a peer server as a start of the sender, on a new connection."""
     loop = asyncio.get_running_loop()
