Ignore an outcome of a call that a link hasn't sent yet

What callers saw: nothing; no daemon says an outcome before a call was sent on the connection. Cause: the number alone tied an outcome to its call, also while the call waited for the handshake. Change: an outcome counts only for a call that was sent. Why it works: a call that waits has no outcome to be told.

--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -360,7 +360,7 @@
                 self._received += 1
                 self._parts.events.on_load(self.daemon, load)
                 sent = self._sent.get(number)
-                if sent is not None:
+                if sent is not None and sent.written:
                     self._settle(sent, outcome)
             case frames.Pong(statement=statement, version=version, load=load):
                 if statement is not None:
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -335,6 +335,7 @@
 
     Attributes:
         link: The link to it.
+        before_greeting: Messages that it says before it greets.
         boot: Its start, which a greeting names.
         streams: Its connections so far.
         said: What the link said on any of them.
@@ -342,6 +343,7 @@
 
     def __init__(self):
         self.boot = 1
+        self.before_greeting = []
         self.streams = []
         self.said = []
         self.tasks = set()
@@ -395,6 +397,8 @@
     def _on_message(self, stream, message):
         self.said.append(message)
         if isinstance(message, frames.Hello):
+            for one in self.before_greeting:
+                stream.send(one)
             own = samples.statement("b", boot=self.boot)
             stream.send(frames.Hello(own, 0))
 
@@ -486,6 +490,17 @@
         assert second == [_FAILED]
 
 
+async def test_an_outcome_of_a_call_that_is_not_sent_is_not_believed():
+    async with _raw_peer() as peer:
+        peer.before_greeting = [frames.Done(1, _FAILED, _LOAD)]
+        got = []
+        _submit(peer.link, got)
+        await peer.until_said(frames.Run)
+        peer.answer(peer.streams[0], 1, _RAN)
+        await _until(peer.link, lambda: got)
+        assert got == [_RAN]
+
+
 async def _outcomes_after(written):
     """Returns the outcomes of a call whose first connection ends after data.
 
