--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -93,6 +93,7 @@
         self.peer_server = None
         self.link = None
         self.port = 0
+        self.sender = _Own("a", 1)
         self.got = []
         self.transports = []
 
@@ -110,7 +111,7 @@
         if self.link is None:
             self.link = links.Link(
                 samples.statement("b", port=self.port, boot=boot),
-                self._parts(_Own("a", 1)),
+                self._parts(self.sender),
                 itertools.count(1),
             )
             self.link.set_persistent(True)
@@ -293,11 +294,50 @@
         assert pair.got == [_FAILED]
 
 
+async def test_a_sender_that_learns_of_a_later_boot_is_promised_nothing():
+    # The clock was set back before its start, and the store says so.
+    async with _pair() as pair:
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        pair.sender.statement = samples.statement("a", port=1, boot=9)
+        pair.reset()
+        await pair.until(lambda: pair.got)
+        assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
+
+
+async def _greet(port, boot):
+    """Greets a peer server as a start of the sender, on a new connection."""
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(
+        lambda: streams.Stream(
+            lambda *said: None, lambda ended: None, traffic.create_traffic()
+        ),
+        "127.0.0.1",
+        port,
+    )
+    stream.send(frames.Hello(samples.statement("a", boot=boot), 0))
+    stream._flush()
+
+
+async def test_a_late_greeting_of_an_earlier_start_makes_no_run_unrun():
+    # A greeting that was lost on its way is sent again by the kernel, also
+    # after its process has ended.
+    async with _pair() as pair:
+        pair.restart_sender()
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        await _greet(pair.port, boot=1)
+        await pair.until(lambda: pair.got)
+        assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
+        assert len(pair.serving.taken) == 1
+
+
 class _RawPeer:
     """A peer that says what the test says; it greets by itself.
 
     Attributes:
         link: The link to it.
+        before_greeting: Messages that it says before it greets.
         boot: Its start, which a greeting names.
         streams: Its connections so far.
         said: What the link said on any of them.
@@ -305,6 +345,7 @@
 
     def __init__(self):
         self.boot = 1
+        self.before_greeting = []
         self.streams = []
         self.said = []
         self.tasks = backgroundtasks.create_background_tasks()
@@ -357,6 +398,8 @@
     def _on_message(self, stream, message):
         self.said.append(message)
         if isinstance(message, frames.Hello):
+            for one in self.before_greeting:
+                stream.send(one)
             own = samples.statement("b", boot=self.boot)
             stream.send(frames.Hello(own, 0))
 
@@ -448,6 +491,17 @@
         assert second == [_FAILED]
 
 
+async def test_an_outcome_of_a_call_that_is_not_sent_is_not_believed():
+    async with _raw_peer() as peer:
+        peer.before_greeting = [frames.Done(1, _FAILED, _LOAD)]
+        got = []
+        _submit(peer.link, got)
+        await peer.until_said(frames.Run)
+        peer.answer(peer.streams[0], 1, _RAN)
+        await _until(peer.link, lambda: got)
+        assert got == [_RAN]
+
+
 async def _outcomes_after(written):
     """Returns the outcomes of a call whose first connection ends after data.
 
