Pause longer before a watch that unexpected errors end begins again

Seen: a watch of the store that ended with an error that nobody expects began again ten times a second, with a listing and a traceback each time, and the daemon went on to say that it watches. The same error in the first listing after a start ended the task, and the daemon never followed the store. Cause: the check that starts watches again runs every 0.1 s and knows no failures; the first listing caught one kind of error. Change: such a watch counts as failing, so that other daemons take over, and pauses 0.25 s at first and up to the pause after a failed call. The first listing is tried again after any error.

--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -399,6 +399,11 @@
                     min(self._max_backoff_s(), self._backoff.fail())
                 )
 
+    def note_error(self) -> None:
+        """Notes that an unexpected error has ended `run`."""
+        self._reachable = False
+        self._established = False
+
     def _note_success(self) -> None:
         if not self._reachable:
             _log.info("watch_regained", kind=self._kind.name)
--- a/src/savorybend/relay/storewatch.py
+++ b/src/savorybend/relay/storewatch.py
@@ -77,6 +77,7 @@
         self._running: dict[store.Kind, _Running] = {}
         self._followed_by_others = False
         self._backoff = budget.create_backoff(parts.rng)
+        self._restarts = budget.create_backoff(parts.rng)
 
     def note_follower(self) -> None:
         """Notes that another daemon takes this one for a watcher."""
@@ -100,13 +101,19 @@
                 listing = await self._parts.client.list(
                     store.DAEMONS, stale=True
                 )
-            except errors.PlatformUnavailableError as error:
-                _log.warning("daemons_not_listed", error=str(error))
+                self._parts.on_hint(listing)
+            except Exception as error:  # noqa: BLE001
+                # Without this listing, the store wouldn't be followed at all.
+                expected = isinstance(error, errors.PlatformUnavailableError)
+                _log.warning(
+                    "daemons_not_listed",
+                    error=str(error),
+                    exc_info=not expected,
+                )
                 if self._parts.others():
                     return True
                 await asyncio.sleep(min(_MAX_BACKOFF_S, self._backoff.fail()))
                 continue
-            self._parts.on_hint(listing)
             return bool(listing.objects)
         return True
 
@@ -170,9 +177,28 @@
             work = follower.run(
                 parts.on_configurations, parts.on_configurations
             )
-        task = asyncio.get_running_loop().create_task(work)
+        task = asyncio.get_running_loop().create_task(
+            self._follow(kind, follower, work)
+        )
         self._running[kind] = _Running(follower, task)
 
+    async def _follow(
+        self,
+        kind: store.Kind,
+        follower: presence.Follower,
+        work: collections.abc.Coroutine,
+    ) -> None:
+        """Runs a watch; after an unexpected error, pauses before it ends."""
+        try:
+            await work
+        except Exception:  # noqa: BLE001
+            # What raises is likely to raise again.
+            follower.note_error()
+            _log.exception("store_watch_failed", kind=kind.name)
+            await asyncio.sleep(
+                min(self._max_backoff_s(), self._restarts.fail())
+            )
+
     def _cancel(self, kind: store.Kind) -> None:
         self._running.pop(kind).task.cancel()
 
@@ -183,15 +209,10 @@
             self._cancel(kind)
 
     def _drop_ended(self) -> None:
-        """Drops watches that an unexpected error ended; they start again."""
+        """Drops watches that have ended; they start again."""
         for kind, running in list(self._running.items()):
             if running.task.done():
                 del self._running[kind]
-                _log.error(
-                    "store_watch_failed",
-                    kind=kind.name,
-                    exc_info=running.task.exception(),
-                )
 
     def _report(self) -> None:
         state = self._state()
