Keep odd entries on the platform from ending a daemon's own tasks

Seen (own interface): a deep record of another writer ended all attempts of a starting daemon to join the others, and one with a number beyond 64 bits was taken and can't be sent. A record was taken for the daemon that it names, whatever it was stored under. An odd ledger ended its updates for good. A host with an empty or long label raised past the join client, and an address or key that can't be used past the senders of messages. Cause: one kind of error was caught at each place, and numbers had no range. Change: each of them raises its module's own error, which its callers handle; a record must be of the name that it is stored under, with numbers that can be sent. An odd ledger is read again, with growing pauses, and the copy stays in use. Why it works: values are text within an object here, so an odd one can't spoil the listing; what remained were the errors of single entries.

--- a/src/savorybend/internal/announcing.py
+++ b/src/savorybend/internal/announcing.py
@@ -15,6 +15,9 @@
 from savorybend.internal import members
 from savorybend.internal import platform
 
+# Daemons send numbers to each other as integers of 64 bits.
+_MAX_NUMBER = (1 << 63) - 1
+
 _log = logs.get()
 
 
@@ -96,12 +99,25 @@
 def decode(found: platform.Object) -> members.Record | None:
     """Returns the record in a daemon's object, or None if it is invalid."""
     try:
-        return msgspec.json.decode(found.value, type=members.Record)
-    except msgspec.MsgspecError as error:
+        record = msgspec.json.decode(found.value, type=members.Record)
+        _check(found.name, record)
+    except (ValueError, RecursionError) as error:
         _log.warning(
             "announcement_unreadable", object=found.name, error=str(error)
         )
         return None
+    return record
+
+
+def _check(name: str, record: members.Record) -> None:
+    """Raises ValueError if a record isn't of a name, or can't be sent."""
+    if record.name != name:
+        raise ValueError("record is of a daemon of another name")
+    if not (
+        0 <= record.incarnation <= _MAX_NUMBER
+        and 0 <= record.revision <= _MAX_NUMBER
+    ):
+        raise ValueError(f"a number isn't from 0 to {_MAX_NUMBER}")
 
 
 def create_announcer(
--- a/src/savorybend/internal/connections.py
+++ b/src/savorybend/internal/connections.py
@@ -264,12 +264,19 @@
             raise errors.PeerUnreachableError(
                 f"daemon {peer!r} is not known: choose another"
             )
-        path = self._paths.setdefault(peer, _Path(record.public_key))
         # The socket sets no routing ID: the peer identifies it by its key, so
         # that no daemon can impersonate another.
         socket = self._create_socket(zmq.DEALER)
-        socket.curve_serverkey = record.public_key.encode()
-        socket.connect(f"tcp://{record.peer_address}")
+        try:
+            socket.curve_serverkey = record.public_key.encode()
+            socket.connect(f"tcp://{record.peer_address}")
+        except (zmq.ZMQError, ValueError) as error:
+            socket.close(linger=0)
+            raise errors.PeerUnreachableError(
+                f"daemon {peer!r} has an address or key that can't be used "
+                f"({error}): choose another"
+            ) from error
+        path = self._paths.setdefault(peer, _Path(record.public_key))
         self._loop.add_reader(socket.fd, self._drain_dealer, peer, socket)
         path.dealer = socket
         path.opened_s = self._loop.time()
--- a/src/savorybend/internal/joining.py
+++ b/src/savorybend/internal/joining.py
@@ -35,6 +35,9 @@
 # A record is small; this bounds the body of unauthenticated requests.
 _LARGEST_REQUEST_BYTES = 16_384
 
+# An address that isn't one is refused with ValueError as well.
+_JOIN_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
+
 Answer = collections.abc.Callable[
     [wire.JoinRequest], collections.abc.Awaitable[wire.JoinReply]
 ]
@@ -66,7 +69,7 @@
             return self._refuse("the proof doesn't fit: set one fleet secret")
         try:
             asked = msgspec.msgpack.decode(body, type=wire.JoinRequest)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return self._refuse(f"{error}: run one version of savorybend")
         answer = msgspec.msgpack.encode(await self._answer(asked))
         mac = _mac(self._secret, "reply", nonce, answer)
@@ -109,7 +112,7 @@
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 return await self._join(f"http://{address}{PATH}", request)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except _JOIN_ERRORS as error:
             raise errors.PeerUnreachableError(
                 f"the daemon at {address} did not let this one join "
                 f"({type(error).__name__}): check the address"
@@ -135,7 +138,7 @@
             )
         try:
             return msgspec.msgpack.decode(data, type=wire.JoinReply)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.PeerUnreachableError(
                 f"{url} sent an invalid reply to the join request ({error}): "
                 "run one version of savorybend on all VMs"
--- a/src/savorybend/internal/ledgersync.py
+++ b/src/savorybend/internal/ledgersync.py
@@ -132,7 +132,7 @@
         centre = self._dependencies.own.data_centre
         found = await self._dependencies.store.get(LIMITS_KIND, centre)
         if found:
-            self._ledger = msgspec.json.decode(found.value, type=ledger.Ledger)
+            self._ledger = _decode(found)
             self._version = found.version
         else:
             self._ledger, self._version = ledger.Ledger(), platform.ABSENT
@@ -176,6 +176,19 @@
         return seconds * self._dependencies.random.uniform(0.75, 1.25)
 
 
+def _decode(found: platform.Object) -> ledger.Ledger:
+    try:
+        decoded = msgspec.json.decode(found.value, type=ledger.Ledger)
+        # Its numbers are sent to other daemons.
+        msgspec.msgpack.encode(decoded)
+    except (ValueError, OverflowError, RecursionError) as error:
+        raise errors.PlatformUnavailableError(
+            f"ledger of {found.name} can't be read ({error}): restore or "
+            "delete the object"
+        ) from error
+    return decoded
+
+
 def create_synchronizer(
     dependencies: Dependencies,
     planner: ledger.Planner,
--- a/src/savorybend/internal/localendpoint.py
+++ b/src/savorybend/internal/localendpoint.py
@@ -40,7 +40,7 @@
             return await self._calls_in.handle_child(request)
         try:
             return await self._handle_own(request)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             problem = {"error": f"{error}: send the fields the docs name"}
             return httpserver.json_answer(problem, 400)
 
--- a/src/savorybend/internal/platform.py
+++ b/src/savorybend/internal/platform.py
@@ -224,7 +224,7 @@
 def _decode(body: bytes, kind: typing.Any) -> typing.Any:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.PlatformUnavailableError(
             f"the platform's answer can't be read ({error}): check that the "
             "URL is the object API's"
