Write a daemon's record again when another writer replaced it

Seen: an odd entry in place of a daemon's own record stayed there until the daemon had something new to say. Daemons that started meanwhile didn't learn of it from the store. Cause: a deleted record was noticed, one that was replaced in the same era of the store wasn't. Change: a change of the own record that this start of the daemon didn't write counts as lost. Why it works: what the store has of a daemon is what it last said, again.

--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -181,8 +181,8 @@
             era: Era of the listing.
 
         Returns:
-            Whether the store lost what was written; the caller then publishes
-            a newer record.
+            Whether the store lost what was written, or another writer replaced
+            it; the caller then publishes a newer record.
         """
         if self._stored is None:
             return False
@@ -192,7 +192,7 @@
             self._stored = None
             return True
         if era <= self._era:
-            return False
+            return self.note_changed(found)
         # The store came back from an older copy.
         self._era = era
         self._revision = found.revision
@@ -203,6 +203,33 @@
             self._stored = None
         return not self.up_to_date
 
+    def note_changed(self, found: store.StoredObject) -> bool:
+        """Compares the record with a change of it.
+
+        Returns:
+            Whether another writer replaced it; the caller then publishes a
+            newer record.
+        """
+        if self._stored is None or found.revision <= self._revision:
+            return False
+        if self._is_own(found):
+            return False
+        _log.warning("own_record_replaced", revision=found.revision)
+        self._revision = found.revision
+        self._stored = None
+        return True
+
+    def _is_own(self, found: store.StoredObject) -> bool:
+        """Returns whether this start wrote a record, perhaps a moment ago."""
+        try:
+            statement = decode(found).statement
+        except errors.InvalidMessageError:
+            return False
+        newest = self._wanted.statement if self._wanted else statement
+        return (
+            statement.boot == newest.boot and statement.serial <= newest.serial
+        )
+
     def note_deleted(self) -> bool:
         """Forgets the record that another daemon has deleted.
 
--- a/src/savorybend/relay/storeupdates.py
+++ b/src/savorybend/relay/storeupdates.py
@@ -71,7 +71,8 @@
 
     def on_daemons(self, listing: store.Listing) -> None:
         """Handles the complete listing; removes daemons without a record."""
-        self.on_daemon_changes(listing)
+        for stored_object in listing.objects:
+            self._learn(stored_object)
         self._parts.directory.note_listed()
         listed = {stored_object.name for stored_object in listing.objects}
         self._absent = {
@@ -86,15 +87,19 @@
             None,
         )
         if self._parts.publisher.note_listed(own, listing.era):
-            # All daemons may have to write again at the same time.
-            delay_s = _REWRITE_SPREAD_S * self._parts.random_fraction()
-            self._parts.timers.after(delay_s, self._parts.on_lost)
+            self._write_again()
 
     def on_daemon_changes(self, listing: store.Listing) -> None:
         """Handles changed and deleted daemon records."""
         for stored_object in listing.objects:
             self._absent.discard(stored_object.name)
             self._learn(stored_object)
+            replaced = (
+                stored_object.name == self._parts.own
+                and self._parts.publisher.note_changed(stored_object)
+            )
+            if replaced:
+                self._write_again()
         for name in listing.deleted:
             if name == self._parts.own:
                 if self._parts.publisher.note_deleted():
@@ -114,6 +119,12 @@
         for report in record.suspects:
             self._parts.suspects.hear(report, "store")
 
+    def _write_again(self) -> None:
+        # All daemons may have to do so at the same time, and two of one name
+        # replace each other's record again and again.
+        delay_s = _REWRITE_SPREAD_S * self._parts.random_fraction()
+        self._parts.timers.after(delay_s, self._parts.on_lost)
+
     def _remove_absent(self) -> None:
         absent, self._absent = self._absent, set()
         for name in absent:
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 
 from standins import objects as standin
 from tests.platform import fleets
@@ -74,3 +75,35 @@
             assert machine.process.returncode is None
             assert "Traceback" not in machine.log()
             assert _passed_over(machine) <= _MAX_LINES_PER_ENTRY * len(odd)
+
+
+async def _replace(fleet, machine, spec):
+    found = fleet.store.get(_KIND, machine.name)
+    found.raw = oddentries.stored(spec, b'"%s"' % machine.name.encode())
+    await fleet.store.write(_KIND, found)
+
+
+async def _is_written_again(fleet, machine):
+    found = fleet.store.get(_KIND, machine.name)
+    return found.raw is None and found.spec["statement"]["state"] == "ready"
+
+
+async def test_an_odd_record_in_place_of_a_daemons_own_is_replaced(tmp_path):
+    # Daemons that started afterwards didn't learn of it.
+    services = ["ledger", "shop"]
+    specs = [oddentries.DEEP["arrays"], b"null", oddentries.record()]
+    async with fleets.running(tmp_path, services, data_centres=1) as fleet:
+        running, restarted = fleet.machines
+        for spec in specs:
+            await _replace(fleet, running, spec)
+            await fleet.until(lambda: _is_written_again(fleet, running))
+        for spec in specs:
+            restarted.signal(signal.SIGKILL)
+            await restarted.ended()
+            await _replace(fleet, restarted, spec)
+            await restarted.start_daemon()
+            await fleet.until(lambda: _is_written_again(fleet, restarted))
+        await fleet.until(lambda: _know(fleet.machines, 1))
+        for machine in fleet.machines:
+            assert machine.process.returncode is None
+            assert "Traceback" not in machine.log()
--- a/tests/relay/test_presence.py
+++ b/tests/relay/test_presence.py
@@ -263,3 +263,52 @@
     publisher = presence.Publisher("a", client, random.Random(1))
     with pytest.raises(errors.InvalidMessageError):
         await publisher.restore()
+
+
+def _odd_own():
+    """Returns what another writer may leave in place of a daemon's record."""
+    other = presence.Record(samples.statement("b"), "ready", 5, 1)
+    older = presence.Record(samples.statement("a", boot=0), "ready", 5, 1)
+    newer = presence.Record(samples.statement("a", boot=9), "ready", 5, 1)
+    return {
+        "null": b"null",
+        "deep": b"[" * 100_000,
+        "another daemon's": msgspec.json.encode(other),
+        "an earlier boot's": msgspec.json.encode(older),
+        "a later boot's": msgspec.json.encode(newer),
+        "with a later serial": msgspec.json.encode(_record(9)),
+    }
+
+
+@pytest.mark.parametrize("value", _odd_own().values(), ids=_odd_own())
+async def test_a_record_that_another_writer_replaced_is_written_again(value):
+    # Daemons that started afterwards didn't learn of this one.
+    publisher, client, writer = await _stored(2)
+    client._write(value)
+    assert publisher.note_changed(client.stored)
+    publisher.publish(_record(10))
+    assert await publisher.wait(5.0)
+    assert presence.decode(client.stored) == _record(10)
+    assert not publisher.note_changed(client.stored)
+    writer.cancel()
+
+
+async def test_a_change_that_this_daemon_made_is_no_loss():
+    publisher, client, writer = await _stored(2)
+    for number in (1, 2):
+        value = msgspec.json.encode(_record(number))
+        # Its event may arrive before the answer to the write.
+        found = store.StoredObject("a", client.revision + 1, value)
+        assert not publisher.note_changed(found)
+    assert publisher.up_to_date
+    older = store.StoredObject("a", client.revision - 1, b"null")
+    assert not publisher.note_changed(older)
+    writer.cancel()
+
+
+async def test_a_replaced_record_is_noticed_in_a_listing_too():
+    publisher, client, writer = await _stored(2)
+    client._write(b"null")
+    assert publisher.note_listed(client.stored, 0)
+    assert not publisher.up_to_date
+    writer.cancel()
