Take an era of the store that daemons can't send for none

Seen: an era of 30 digits couldn't be sent to other daemons; one of 5,000 digits raised past the client. Cause: digits of any number were taken. Change: an era has up to 18 digits, else the answer tells none. Why it works: such a number fits 64 bits.

--- a/src/savorybend/platform/objects.py
+++ b/src/savorybend/platform/objects.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import re
 import typing
 import urllib.parse
 
@@ -28,8 +29,9 @@
 _NO_ERA = 0
 # Bodies of all responses that are being received, in bytes.
 _MAX_BODY_MEMORY = 32 << 20
-# Daemons send revisions to each other as integers of 64 bits.
+# Daemons send revisions and eras to each other as integers of 64 bits.
 _MAX_REVISION = (1 << 63) - 1
+_ERA = re.compile(rb"[0-9]{1,18}")
 _NO_SPEC = msgspec.Raw(b"null")
 # A decoder raises RecursionError at JSON that is nested too deep for the stack
 # that is left.
@@ -331,7 +333,7 @@
 def _parse_era(headers: http1.Headers) -> int | None:
     """Returns the era that a response tells; None without a valid one."""
     for name, value in headers:
-        if name == names.STORE_ERA and value.isdigit():
+        if name == names.STORE_ERA and _ERA.fullmatch(value):
             return int(value)
     return None
 
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -191,3 +191,12 @@
         with pytest.raises(errors.PlatformUnavailableError):
             await client.list(store.DAEMONS)
         assert client.era == 3
+
+
+@pytest.mark.parametrize("digits", [18, 30, 5000])
+async def test_an_odd_era_is_none(digits):
+    # Daemons send eras to each other as integers of 64 bits.
+    async with _running() as (kept, client):
+        kept.era = "1" * digits
+        listing = await client.list(store.DAEMONS)
+        assert listing.era == (int("1" * digits) if digits == 18 else 0)
