Read a length with white space behind it, and refuse one that is none

What would have been seen: a daemon that stops for good at an answer whose Content-Length has a space or tab behind it, which HTTP allows. Cause: since the body's bytes are counted before they are parsed, a length that isn't read as digits was taken for 0, and the rest of the segment was handed over again without end. A length of 5,000 digits raised past the connection. Change: white space is removed; what isn't a number of up to 18 digits ends the connection; bytes that are left while a response isn't complete end it too, so that each turn makes progress or ends.

--- a/src/savorybend/relay/responseparser.py
+++ b/src/savorybend/relay/responseparser.py
@@ -17,6 +17,7 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 _STATUS_LINE_BYTES = 12
 _JOINED = "response within a response"
+_MAX_LENGTH_DIGITS = 18
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _FIRST_FINAL = 200
@@ -222,6 +223,8 @@
         completed = len(self._complete)
         self._parse(data)
         if len(self._complete) == completed:
+            if rest:
+                raise GarbledError("response goes beyond its length")
             self._check_framing(len(data) - self._received_body_bytes + before)
         return rest
 
@@ -263,10 +266,15 @@
     def _announced_bytes(self) -> int:
         """Returns the length of the body that the head tells; 0 for none."""
         for name, value in self._headers:
-            if name == b"content-length" and value.isdigit():
-                return int(value)
+            if name == b"content-length":
+                return self._parse_length(value.strip())
         return 0
 
+    def _parse_length(self, value: bytes) -> int:
+        if not value.isdigit() or len(value) > _MAX_LENGTH_DIGITS:
+            self._refuse("invalid Content-Length")
+        return int(value)
+
 
 def create_response_parser(
     limits: responselimits.Limits, memory: responselimits.BodyMemory
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -130,6 +130,28 @@
     assert max(len(one.requests) for one in used) <= 400
 
 
+@pytest.mark.parametrize("space", [b" ", b"\t", b" \t "])
+async def test_white_space_behind_a_length_never_holds_the_daemon(space):
+    padded = _FIRST.replace(b"Length: 10\r\n", b"Length: 10%s\r\n" % space)
+    with servers.started() as server:
+        sent = await server.send("a")
+        sent.connection.write(padded)
+        sent.connection.deliver()
+    assert [(one.status, one.body) for one in sent.outcomes] == [
+        (200, b"first body")
+    ]
+
+
+@pytest.mark.parametrize("length", [b"0" * 5000 + b"4", b"9" * 400, b"+4"])
+async def test_a_length_that_is_none_ends_the_connection(length):
+    written = _FIRST.replace(b"Length: 10\r\n", b"Length: %s\r\n" % length)
+    with servers.started() as server:
+        sent = await server.send("a")
+        sent.connection.write(written)
+        sent.connection.deliver()
+    assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
+
+
 async def test_an_answer_without_id_is_no_promise_on_a_used_connection():
     # An earlier refusal came once more, and a request that ran was refused.
     found = [
