Remove a finished call only, not another one that has its number

What callers saw: no answer until the deadline for a call that was answered, if its sender had started again. Cause: the list of finished calls had their numbers only. Since the outcome of a call that isn't kept is dropped, so it had none. Change: the list has the calls themselves. Measured: the new test failed before, and passes with all of test_links. Why it works: what is removed is the very call that finished.

--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -41,7 +41,10 @@
         self._streams: dict[str, streams.Stream] = {}
         self._boots: dict[str, int] = {}
         self._calls: dict[tuple[str, int], _AcceptedCall] = {}
-        self._finished: collections.deque[tuple[str, int]] = collections.deque()
+        # With the call, since an earlier start may have had the same number.
+        self._finished: collections.deque[
+            tuple[tuple[str, int], _AcceptedCall]
+        ] = collections.deque()
         # By name and boot number of the sender.
         self._last_numbers: dict[tuple[str, int], int] = {}
 
@@ -72,10 +75,12 @@
         """Deletes outcomes whose retention time is over."""
         now_s = self._parts.clock.now_s()
         while self._finished:
-            accepted = self._calls.get(self._finished[0])
-            if accepted is not None and accepted.retained_until_s > now_s:
-                break
-            self._calls.pop(self._finished.popleft(), None)
+            key, accepted = self._finished[0]
+            if self._calls.get(key) is accepted:
+                if accepted.retained_until_s > now_s:
+                    break
+                del self._calls[key]
+            self._finished.popleft()
 
     def close(self) -> None:
         """Closes all connections after pending writes."""
@@ -200,7 +205,7 @@
         accepted.retained_until_s = (
             self._parts.clock.now_s() + _OUTCOME_RETENTION_S
         )
-        self._finished.append(key)
+        self._finished.append((key, accepted))
         self._send(key, accepted)
 
     def _send(self, key: tuple[str, int], accepted: _AcceptedCall) -> None:
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -332,6 +332,23 @@
         assert len(pair.serving.taken) == 1
 
 
+async def test_an_answered_call_of_an_earlier_start_ends_none_of_its_number():
+    # The sweep removed the call that had the number by then.
+    async with _pair() as pair:
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        pair.serving.taken[0][1](_RAN)
+        await pair.until(lambda: pair.got)
+        pair.restart_sender()
+        pair.submit(idempotent=False)
+        await pair.until(lambda: len(pair.serving.taken) == 2)
+        pair.peer_server.sweep()
+        assert pair.peer_server.busy == 1
+        pair.serving.taken[1][1](_FAILED)
+        await pair.until(lambda: len(pair.got) == 2)
+        assert pair.got == [_RAN, _FAILED]
+
+
 class _RawPeer:
     """A peer that says what the test says; it greets by itself.
 
