Find each status line that the parser reads, also in parts

Cause: behind a chunked answer the next head reaches the parser in pieces, and each piece of a reason phrase was searched by itself. HTTP/2.0, HTTP/0.9 and statuses from 600 on are read by the parser, but the check didn't know them. Change: the reason phrase is searched as a whole, for any version and status. Why it works: the check covers whatever the parser takes for a status line.

--- a/src/savorybend/relay/responseparser.py
+++ b/src/savorybend/relay/responseparser.py
@@ -14,7 +14,7 @@
 
 _HEAD_END = b"\r\n\r\n"
 _PROTOCOL = b"HTTP/"
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 _STATUS_LINE_BYTES = 12
 _JOINED = "response within a response"
 _MAX_LENGTH_DIGITS = 18
@@ -59,6 +59,7 @@
         # takes time that grows with the square of a header's length.
         self._head: bytearray | None = bytearray()
         self._headers: http1.Headers = []
+        self._reason = b""
         self._body = bytearray()
         self._complete: list[Response] = []
         self._error: GarbledError | None = None
@@ -136,10 +137,12 @@
         self._ends_with_connection = False
         self._left_bytes = None
         self._headers = []
+        self._reason = b""
 
     def on_status(self, reason: bytes) -> None:
-        """Checks the reason phrase."""
-        if _PROTOCOL in reason:
+        """Checks the reason phrase, which may come in parts."""
+        self._reason += reason
+        if _PROTOCOL in self._reason:
             self._refuse(_JOINED)
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -130,6 +130,42 @@
     assert max(len(one.requests) for one in used) <= 400
 
 
+@pytest.mark.parametrize("begun", [200, 503])
+async def test_a_status_line_split_over_segments_is_found_in_a_reason(begun):
+    copy = servers.chunked(b"a", b"first body")
+    failed = servers.answer(b"b", 500, b"p2", b"")
+    begun = b"HTTP/1.1 %d Some " % begun
+    found = []
+    for split in range(1, len(failed)):
+        with servers.started() as server:
+            one = await server.send("a")
+            one.connection.write(copy)
+            one.connection.deliver()
+            other = await server.send("b")
+            other.connection.write(copy + begun + failed[:split])
+            other.connection.deliver()
+            other.connection.write(failed[split:])
+            other.connection.end()
+        found.append((split, *other.outcomes))
+    assert [
+        (split, outcome)
+        for split, outcome in found
+        if not isinstance(outcome, outcomes.Lost) and outcome.status != 500
+    ] == []
+
+
+@pytest.mark.parametrize(
+    "line", [b"HTTP/2.0 500", b"HTTP/0.9 500", b"HTTP/1.1 600"]
+)
+async def test_each_status_line_that_is_read_is_found_within_a_head(line):
+    other = _NEXT.replace(b"HTTP/1.1 500", line)
+    [outcome] = await _two_requests(_FIRST, other)
+    assert outcome.status == int(line[-3:])
+    begun = b"HTTP/1.1 200 OK\r\nServer: re"
+    [outcome] = await _two_requests(_FIRST, begun + other)
+    assert outcome == outcomes.Lost(outcomes.GARBLED)
+
+
 @pytest.mark.parametrize("space", [b" ", b"\t", b" \t "])
 async def test_white_space_behind_a_length_never_holds_the_daemon(space):
     padded = _FIRST.replace(b"Length: 10\r\n", b"Length: 10%s\r\n" % space)
