Believe no refusal behind which the request's own answer stands

What callers would have seen: 'not run' for a request whose answer came in the same segment, and a second run of it elsewhere. Cause: a failure was final once its bytes were read, also one without an ID. Change: if another answer with the request's ID follows a failure in its segment and isn't equal to it, the outcome isn't known. A success stands, as what follows it belongs to no request.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -15,6 +15,7 @@
 
 # Bounds the memory of the IDs that a connection carried.
 _MAX_REQUESTS = 400
+_FIRST_FAILURE = 300
 
 _log = structlog.get_logger()
 
@@ -225,6 +226,10 @@
                 surplus and responseparser.contains_status_line(body)
             ):
                 self._give_up("response within a response")
+            case responseparser.Response() if self._is_doubtful(
+                result, surplus
+            ):
+                self._give_up("answers that differ")
             case responseparser.Response():
                 for response in surplus:
                     self._note_surplus(answerlog.WITHOUT_REQUEST, response)
@@ -259,6 +264,23 @@
         self._note_surplus(answerlog.OF_ANOTHER_REQUEST, response)
         return None
 
+    def _is_doubtful(
+        self,
+        response: responseparser.Response,
+        surplus: list[responseparser.Response],
+    ) -> bool:
+        """Returns whether a failure is followed by another own answer.
+
+        A refusal promises that the request doesn't run, so it must be certain.
+        """
+        if response.status < _FIRST_FAILURE:
+            return False
+        return any(
+            other != response
+            and self._expected.match(other.headers) is Match.OWN
+            for other in surplus
+        )
+
     def _is_doubled(self, response: responseparser.Response) -> bool:
         """Returns whether a body holds the answer to its own request."""
         request_id = self._expected.request_id.encode("latin-1")
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -281,6 +281,19 @@
     assert [one.status for one in sent.outcomes] == [500]
 
 
+@pytest.mark.parametrize("request_id", [b"a", b""])
+@pytest.mark.parametrize("status", [421, 500, 503])
+async def test_a_failure_is_uncertain_if_another_own_answer_follows_it(
+    status, request_id
+):
+    with servers.started() as server:
+        sent = await server.send("a")
+        failed = servers.answer(request_id, status, executed=status == 500)
+        sent.connection.write(failed + _FIRST)
+        sent.connection.deliver()
+    assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
+
+
 async def test_the_next_request_is_not_sent_before_a_copy_was_read():
     with servers.started() as server:
         one = await server.send("a")
