Keep hashes of the IDs that a connection carried

Change: their hashes are kept. Two IDs with one hash cost another connection, nothing else. Measured: the new test failed before, with 50 IDs of 16,000 characters.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -13,7 +13,7 @@
 from savorybend.relay import responseparser
 from savorybend.relay import writebatch
 
-# Bounds the memory of the IDs that a connection carried.
+# Bounds what a connection remembers of the IDs that it carried.
 _MAX_REQUESTS = 400
 _FIRST_FAILURE = 300
 
@@ -121,7 +121,8 @@
         self._transport: asyncio.Transport | None = None
         self._expected: PendingRequest | None = None
         self._unusable = False
-        self._carried_ids: set[str] = set()
+        # Hashes, as an ID may be as long as a head.
+        self._carried_ids: set[int] = set()
         self._requests = 0
         self._surplus = 0
         self.idle_since_s = 0.0
@@ -143,12 +144,12 @@
 
         Requests without an ID are all taken for the same one.
         """
-        return request_id in self._carried_ids
+        return hash(request_id) in self._carried_ids
 
     def send(self, data: bytes, expected: PendingRequest) -> None:
         """Sends a request; its result goes to the callback of `expected`."""
         self._requests += 1
-        self._carried_ids.add(expected.request_id)
+        self._carried_ids.add(hash(expected.request_id))
         if self._requests >= _MAX_REQUESTS:
             self._unusable = True
         self._expected = expected
--- a/tests/relay/servers.py
+++ b/tests/relay/servers.py
@@ -35,12 +35,13 @@
     Attributes:
         requests: Numbers of the requests received on it.
         transport: The transport of the other end.
+        protocol: The other end.
     """
 
     def __init__(self, protocol):
         self.requests = []
         self.transport = transports.RecordingTransport()
-        self._protocol = protocol
+        self.protocol = protocol
         self._waiting = b""
         self._ended = False
         protocol.connection_made(self.transport)
@@ -59,7 +60,7 @@
         size = len(self._waiting) if most is None else most
         data, self._waiting = self._waiting[:size], self._waiting[size:]
         if data and self.open:
-            self._protocol.data_received(data)
+            self.protocol.data_received(data)
 
     def end(self, reset=False):
         """Delivers what was written, and ends the connection."""
@@ -68,10 +69,8 @@
             return
         self._ended = True
         if not reset and not self.transport.closed:
-            self._protocol.eof_received()
-        self._protocol.connection_lost(
-            ConnectionResetError() if reset else None
-        )
+            self.protocol.eof_received()
+        self.protocol.connection_lost(ConnectionResetError() if reset else None)
 
 
 class Server:
@@ -112,7 +111,7 @@
         [connection] = [
             one
             for one in self.connections
-            if one._protocol is dispatch.connection
+            if one.protocol is dispatch.connection
         ]
         sent = Sent(len(self.sent), connection, told)
         connection.requests.append(sent.number)
@@ -123,7 +122,7 @@
         """Opens a connection; stands in for the event loop's function."""
         connection = Connection(create_protocol())
         self.connections.append(connection)
-        return connection.transport, connection._protocol
+        return connection.transport, connection.protocol
 
 
 @contextlib.contextmanager
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -1,6 +1,7 @@
 """Which answer of a backend server a request gets, whatever is written."""
 
 import asyncio
+import sys
 
 import hypothesis
 import pytest
@@ -188,6 +189,18 @@
     assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
 
 
+async def test_long_ids_that_a_connection_carried_take_little_memory():
+    with servers.started() as server:
+        for number in range(50):
+            request_id = f"{number}".ljust(16_000, "x")
+            sent = await server.send(request_id)
+            sent.connection.write(servers.answer(request_id.encode()))
+            sent.connection.deliver()
+        [connection] = server.connections
+    kept = connection.protocol._carried_ids
+    assert sum(sys.getsizeof(one) for one in kept) < 50 * 200
+
+
 async def test_an_answer_without_id_is_no_promise_on_a_used_connection():
     # An earlier refusal came once more, and a request that ran was refused.
     found = [
