Look for the ID as a header's value in a body that holds a status line

What callers would have seen: 502 each time for an answer whose body quotes a status line, if the request's ID is short enough to occur in any text. Cause: the ID was looked for anywhere in the body. Change: it counts if it stands as a header's value does, up to a line's end.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -284,11 +284,9 @@
 
     def _is_doubled(self, response: responseparser.Response) -> bool:
         """Returns whether a body holds the answer to its own request."""
-        request_id = self._expected.request_id.encode("latin-1")
-        return (
-            bool(request_id)
-            and request_id in response.body
-            and responseparser.contains_status_line(response.body)
+        named = b": %s\r\n" % self._expected.request_id.encode("latin-1")
+        return named in response.body and responseparser.contains_status_line(
+            response.body
         )
 
     def _end_request(self, response: responseparser.Response) -> None:
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -294,6 +294,26 @@
     assert [one.status for one in sent.outcomes] == [500]
 
 
+async def test_a_body_that_quotes_a_status_line_is_an_answer():
+    # Short IDs occur in any text.
+    body = b"it said HTTP/1.1 200 OK, and a: b"
+    with servers.started() as server:
+        sent = await server.send("a")
+        sent.connection.write(servers.answer(b"a", 200, b"p1", body))
+        sent.connection.deliver()
+    assert sent.outcomes[0].body == body
+
+
+async def test_a_body_with_the_whole_own_answer_in_it_is_none():
+    # The head tells a length that takes the second answer in.
+    whole = servers.answer(b"a", 200, b"p1", b"body")
+    with servers.started() as server:
+        sent = await server.send("a")
+        sent.connection.write(servers.answer(b"a", 200, b"p1", b"bo" + whole))
+        sent.connection.deliver()
+    assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
+
+
 @pytest.mark.parametrize("request_id", [b"a", b""])
 @pytest.mark.parametrize("status", [421, 500, 503])
 async def test_a_failure_is_uncertain_if_another_own_answer_follows_it(
