Believe no refusal of a backend server behind which more stands

What callers would have seen, at the own interface: `not-run` for a call that the backend server answered in the same segment, and a second run elsewhere. Cause: a refusal was believed whatever followed it on the call's connection. Change: a refusal that is read at once with more behind it isn't used, and the outcome is `unknown`. Measured: test_a_refusal_is_uncertain_if_an_answer_follows_it failed before; test_backend_answers passes.

--- a/src/savorybend/internal/backendanswers.py
+++ b/src/savorybend/internal/backendanswers.py
@@ -83,6 +83,15 @@
         self._check_end()
         return data
 
+    def check_alone(self) -> None:
+        """Checks that nothing stands behind a response that was read.
+
+        Raises:
+            errors.AnswerUnusableError: Something does.
+        """
+        if self._is_followed():
+            raise self._unusable("more than a refusal")
+
     async def read_part(self) -> bytes:
         """Returns the next part of the body, empty at the end.
 
--- a/src/savorybend/internal/serving.py
+++ b/src/savorybend/internal/serving.py
@@ -201,6 +201,8 @@
         length = response.content_length
         if length is not None and length <= bodies.INLINE_BYTES:
             body = bodies.WholeBody(await response.read_whole())
+            if outcome is outcomes.Outcome.NOT_RUN:
+                response.check_alone()
             execution.note_answer()
             execution.end(whole=True)
         else:
--- a/tests/unit/test_backend_answers.py
+++ b/tests/unit/test_backend_answers.py
@@ -334,3 +334,11 @@
     second = rawbackend.create_response(500, body)
     read = await _call_once(first[:-10_000] + second)
     assert read.body is None
+
+
+async def test_a_refusal_is_uncertain_if_an_answer_follows_it():
+    # The server may have run the call all the same.
+    read = await _call_once(_REFUSAL + _FIRST)
+    assert (read.outcome, read.reason) == ("unknown", _LOST)
+    read = await _call_once(_REFUSAL)
+    assert read.outcome == "not-run"
