Find an answer of any HTTP version within another, at the own interface

Cause: the check knew HTTP/1.0 and 1.1 in capitals, the library reads others. Change: any version and status, in capitals or not.

--- a/src/savorybend/internal/backendanswers.py
+++ b/src/savorybend/internal/backendanswers.py
@@ -18,11 +18,12 @@
 from savorybend.internal import logs
 
 _PROTOCOL = b"HTTP/"
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}", re.IGNORECASE)
 _STATUS_LINE_BYTES = 12
 # What a status line leaves at the end of a body that is cut within it.
 _CUT_STATUS_LINE = re.compile(
-    rb"H(T(T(P(/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?)?)?)?)?\Z"
+    rb"H(T(T(P(/([0-9](\.([0-9]( ([0-9][0-9]?)?)?)?)?)?)?)?)?)?\Z",
+    re.IGNORECASE,
 )
 _JOINED = "a response within a response"
 _SWITCHING_PROTOCOLS = 101
@@ -59,7 +60,7 @@
         self._request_id = request_id
         if self.status == _SWITCHING_PROTOCOLS:
             raise self._unusable("a change of protocol that wasn't asked for")
-        if _PROTOCOL.decode() in self.reason or any(
+        if _PROTOCOL.decode() in self.reason.upper() or any(
             _STATUS_LINE.search(value) for _, value in self.raw_headers
         ):
             raise self._unusable(_JOINED)
@@ -109,7 +110,7 @@
 
     def _look_through(self, data: bytes) -> None:
         seen = self._last_bytes + data
-        if _PROTOCOL in seen and _STATUS_LINE.search(seen):
+        if _PROTOCOL in seen.upper() and _STATUS_LINE.search(seen):
             self._holds_status_line = True
         self._last_bytes = seen[1 - _STATUS_LINE_BYTES :]
 
--- a/tests/unit/test_backend_answers.py
+++ b/tests/unit/test_backend_answers.py
@@ -342,3 +342,12 @@
     assert (read.outcome, read.reason) == ("unknown", _LOST)
     read = await _call_once(_REFUSAL)
     assert read.outcome == "not-run"
+
+
+@pytest.mark.parametrize(
+    "protocol", [b"HTTP/1.0", b"HTTP/2.0", b"HTTP/0.9", b"http/1.1"]
+)
+async def test_an_answer_of_any_version_is_found_within_another(protocol):
+    other = _SECOND.replace(b"HTTP/1.1", protocol)
+    head = _FIRST.partition(b"\r\n")[0] + b"\r\nServer: re"
+    assert _is_lost(await _call_once(head + other))
