Move what links need of a daemon out of links.py

Cause: a file of 465 lines held the connection to a peer and the protocols that the rest of a daemon implements for it, which the peer server uses too. Change: the protocols and the dependencies stand in linkinterfaces.py. Measured: no behaviour changes; test_links, test_suspects, test_recordfeed, test_watchers and test_serverterms: 80 passed. links.py 465 -> 393 lines.

--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -17,6 +17,7 @@
 from savorybend.relay import inquiry
 from savorybend.relay import lender
 from savorybend.relay import lenderchoice
+from savorybend.relay import linkinterfaces
 from savorybend.relay import links
 from savorybend.relay import loadbalancer
 from savorybend.relay import outcomes
@@ -43,7 +44,7 @@
 class Parts(typing.NamedTuple):
     """Dependencies of `Fleet`."""
 
-    own: links.LocalState
+    own: linkinterfaces.LocalState
     directory: directory.Directory
     catalog: catalog.Catalog
     timers: timers.TimerService
@@ -100,7 +101,7 @@
         self._followed: tuple[str, ...] = ()
         # Daemons that are known to pass records on.
         self._feeding: set[str] = set()
-        self._link_dependencies = links.Dependencies(
+        self._link_dependencies = linkinterfaces.Dependencies(
             own=parts.own,
             events=self,
             clock=self._clock,
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -6,18 +6,15 @@
 """
 
 import asyncio
-import collections.abc
 import typing
 
 import structlog
 
-from savorybend.internal import timers
-from savorybend.relay import backgroundtasks
 from savorybend.relay import calls
 from savorybend.relay import frames
+from savorybend.relay import linkinterfaces
 from savorybend.relay import outcomes
 from savorybend.relay import streams
-from savorybend.relay import traffic
 
 _CONNECT_TIMEOUT_S = 0.6
 _MIN_BACKOFF_S = 0.1
@@ -39,74 +36,14 @@
 _log = structlog.get_logger()
 
 
-OnOutcome = collections.abc.Callable[[outcomes.Outcome], None]
-
-
-class LocalState(typing.Protocol):
-    """State of the local daemon that is sent to peers."""
-
-    @property
-    def statement(self) -> frames.Statement:
-        """Its newest statement."""
-
-    @property
-    def version(self) -> int:
-        """Version of its configuration; 0 for none."""
-
-    @property
-    def load(self) -> outcomes.Load:
-        """The load of its backend server."""
-
-    @property
-    def feed(self) -> frames.Feed | None:
-        """Its copy of the records in the store."""
-
-
-class Events(typing.Protocol):
-    """Callbacks from links to the rest of the daemon."""
-
-    def on_statement(self, statement: frames.Statement, source: str) -> None:
-        """Handles a daemon's statement, sent by it or by another one."""
-
-    def on_version(self, link: "Link", version: int) -> None:
-        """Handles the version of a peer's configuration."""
-
-    def on_connect(
-        self, send: collections.abc.Callable[[frames.Message], None]
-    ) -> None:
-        """Sends what a peer may have missed; before any call."""
-
-    def terms_of(self, daemon: str) -> outcomes.Terms | None:
-        """Returns what is known of a daemon's backend server."""
-
-    def on_hello(self, hello: frames.Hello) -> None:
-        """Handles what a peer says first; before anything else of it."""
-
-    def on_feed(self, link: "Link", feed: frames.Feed | None) -> None:
-        """Handles what a peer says of its copy of the records."""
-
-    def on_follow(
-        self,
-        message: frames.Follow,
-        send: collections.abc.Callable[[frames.Message], None],
-    ) -> None:
-        """Handles a request for the records."""
-
-    def on_load(self, daemon: str, load: outcomes.Load) -> None:
-        """Handles the load of a peer's backend server."""
-
-    def on_control_message(
-        self, reply: collections.abc.Callable, daemon: str, message: typing.Any
-    ) -> None:
-        """Handles a message that isn't about calls."""
-
-
 class _PendingCall:
     """A call submitted to a peer that has no outcome yet."""
 
     __slots__ = ("number", "call", "callback", "written")
 
-    def __init__(self, number: int, call: calls.Call, callback: OnOutcome):
+    def __init__(
+        self, number: int, call: calls.Call, callback: linkinterfaces.OnOutcome
+    ):
         self.number = number
         self.call = call
         self.callback = callback
@@ -130,7 +67,7 @@
     def __init__(
         self,
         statement: frames.Statement,
-        parts: "Dependencies",
+        parts: linkinterfaces.Dependencies,
         numbers: typing.Any,
     ):
         self._statement = statement
@@ -210,7 +147,9 @@
         if statement.boot != old.boot:
             self._last_failure_s = None
 
-    def submit(self, call: calls.Call, callback: OnOutcome) -> CallHandle:
+    def submit(
+        self, call: calls.Call, callback: linkinterfaces.OnOutcome
+    ) -> CallHandle:
         """Submits a call to the peer; the callback receives its outcome."""
         number = next(self._numbers)
         if self._just_failed():
@@ -452,14 +391,3 @@
             self._note_failure(ConnectionResetError("closed before Hello"))
         elif self._sent or self._persistent:
             self._dial()
-
-
-class Dependencies(typing.NamedTuple):
-    """Dependencies of links and of the peer server."""
-
-    own: LocalState
-    events: Events
-    clock: timers.Clock
-    timers: timers.TimerService
-    start: backgroundtasks.Start
-    traffic: traffic.Traffic
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -5,7 +5,7 @@
 
 from savorybend.relay import calls
 from savorybend.relay import frames
-from savorybend.relay import links
+from savorybend.relay import linkinterfaces
 from savorybend.relay import outcomes
 from savorybend.relay import streams
 
@@ -16,7 +16,9 @@
 class CallRunner(typing.Protocol):
     """Executes calls on this daemon's backend server."""
 
-    def submit(self, call: calls.Call, callback: links.OnOutcome) -> typing.Any:
+    def submit(
+        self, call: calls.Call, callback: linkinterfaces.OnOutcome
+    ) -> typing.Any:
         """Executes a call; returns a handle with `cancel`."""
 
 
@@ -35,7 +37,7 @@
 class PeerServer:
     """Serves the connections opened by peers, and the calls on them."""
 
-    def __init__(self, parts: links.Dependencies, server: CallRunner):
+    def __init__(self, parts: linkinterfaces.Dependencies, server: CallRunner):
         self._parts = parts
         self._server = server
         self._streams: dict[str, streams.Stream] = {}
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -9,6 +9,7 @@
 from savorybend.internal import timers
 from savorybend.relay import backgroundtasks
 from savorybend.relay import frames
+from savorybend.relay import linkinterfaces
 from savorybend.relay import links
 from savorybend.relay import outcomes
 from savorybend.relay import peerserver
@@ -73,7 +74,7 @@
 
 def _parts(own, tasks):
     clock = timers.SystemClock()
-    return links.Dependencies(
+    return linkinterfaces.Dependencies(
         own,
         _Events(),
         clock,
