Test listings with odd values in every place of an object

Each answer of the client holds the valid objects, or raises the client's error if a text or a bracket in the odd value has no end.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import json
 
+import hypothesis
 import msgspec
 import pytest
 from aiohttp import web
 
 from savorybend.internal import errors
+from savorybend.platform import jsonparts
 from savorybend.platform import objects
 from savorybend.relay import frames
 from savorybend.relay import presence
@@ -113,6 +116,47 @@
         assert kept.calls["GET"] == 1
 
 
+_OBJECT = {
+    "metadata": {"name": "odd", "revision": 3, "finalizers": []},
+    "spec": json.loads(oddentries.record()),
+    "status": None,
+}
+
+
+@hypothesis.settings(max_examples=200)
+@hypothesis.given(raw=oddentries.documents(_OBJECT))
+def test_a_listing_is_valid_or_raises_the_error_of_the_client(raw):
+    async def read():
+        async with _running() as (kept, client):
+            await client.create(store.DAEMONS, "a", b"1")
+            await _leave(kept, raw)
+            return [
+                await client.list(store.DAEMONS),
+                await client.watch(store.DAEMONS, 1, 1.0),
+            ]
+
+    try:
+        listings = asyncio.run(read())
+    except errors.PlatformUnavailableError:
+        # Only bytes that leave a bracket or a text open spoil an answer.
+        assert not _is_balanced(raw)
+        return
+    for listing in listings:
+        assert "a" in _names(listing)
+        for found in listing.objects:
+            assert found.name
+            assert 0 <= found.revision < 1 << 63
+            position = frames.Position(0, listing.revision)
+            assert frames.encode(frames.Records(None, position, [found], []))
+
+
+def _is_balanced(raw):
+    try:
+        return len(jsonparts.elements(b"[%s,1]" % raw)) == 2
+    except ValueError:
+        return False
+
+
 @pytest.mark.parametrize(
     "name", ["a/b", "../config/main", "a\0b", "ä b?c=d#e%2f", "x" * 2000]
 )
