Look through deep values in proportion to their size

Cause: a stretch without quotation marks had no bound, so that each deep value was looked through up to the end of the whole text, and most of it again. Change: a stretch has 4,096 bytes at most.

--- a/src/savorybend/platform/jsonparts.py
+++ b/src/savorybend/platform/jsonparts.py
@@ -20,6 +20,8 @@
 # A stretch that ends between tokens.
 _STRETCH = re.compile(rb'(?:[^"]++|' + _TEXT + rb"){1,4096}+", re.DOTALL)
 _WHOLE_TEXT = re.compile(_TEXT, re.DOTALL)
+# Bounds the work on a stretch that turns out to close a value.
+_STRETCH_BYTES = 4096
 # Deeper values are passed over by stretches, which is several times faster.
 _DEEP = 256
 _NAME = re.compile(
@@ -114,7 +116,7 @@
         it ends.
     """
     checked = at
-    while (stretch := _STRETCH.match(text, at)) is not None:
+    while stretch := _STRETCH.match(text, at, at + _STRETCH_BYTES):
         bare = _WHOLE_TEXT.sub(b"", stretch[0])
         closed = bare.count(b"]") + bare.count(b"}")
         checked = stretch.end()
--- a/tests/platform/test_jsonparts.py
+++ b/tests/platform/test_jsonparts.py
@@ -75,3 +75,30 @@
     found = jsonparts.members(b'{"\\ud800":1,"\xff":2,"a":3,"a":4}')
     assert found == {"a": b"4"}
     assert msgspec.json.decode(found["a"]) == 4
+
+
+class _CountingPattern:
+    """A pattern that counts the bytes it matched."""
+
+    def __init__(self, pattern):
+        self._pattern = pattern
+        self.matched_bytes = 0
+
+    def match(self, text, *bounds):
+        found = self._pattern.match(text, *bounds)
+        if found is not None:
+            self.matched_bytes += len(found[0])
+        return found
+
+
+@pytest.mark.parametrize("count", [50, 500])
+def test_many_deep_values_take_time_in_proportion_to_their_size(
+    count, monkeypatch
+):
+    # Each was looked through up to the end of the whole text.
+    pattern = _CountingPattern(jsonparts._STRETCH)
+    monkeypatch.setattr(jsonparts, "_STRETCH", pattern)
+    deep = b"[" * 300 + b"1" + b"]" * 300
+    text = b"[%s]" % b",".join([deep] * count)
+    assert jsonparts.elements(text) == [deep] * count
+    assert pattern.matched_bytes < 10 * len(text)
