Believe no failure behind which its request's answer may stand

What callers would have seen: 'not run' for a request of which a part of the answer, an answer without an ID, or bytes that are none came behind a refusal in its segment. Cause: only a whole answer with the ID made the refusal uncertain. Change: whatever follows a failure in its segment does, but for a copy of it and for an answer that bears another ID. Measured: the fifteen cases of the new test failed before, the one beside it passes before and now.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -270,7 +270,7 @@
         response: responseparser.Response,
         surplus: list[responseparser.Response],
     ) -> bool:
-        """Returns whether a failure is followed by another own answer.
+        """Returns whether a failure is followed by what may be its own answer.
 
         A refusal promises that the request doesn't run, so it must be certain.
         """
@@ -278,7 +278,7 @@
             return False
         return any(
             other != response
-            and self._expected.match(other.headers) is Match.OWN
+            and self._expected.match(other.headers) is not Match.ANOTHER
             for other in surplus
         )
 
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -327,6 +327,38 @@
     assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
 
 
+@pytest.mark.parametrize("status", [421, 500, 503])
+@pytest.mark.parametrize(
+    "behind",
+    [
+        _FIRST[:30],
+        _FIRST[:-2],
+        servers.answer(b"", 200, b"p1", b"first body"),
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"junk",
+    ],
+)
+async def test_a_failure_is_uncertain_if_an_answer_may_follow_it(
+    status, behind
+):
+    with servers.started() as server:
+        sent = await server.send("a")
+        failed = servers.answer(b"a", status, executed=status == 500)
+        sent.connection.write(failed + behind)
+        sent.connection.deliver()
+    assert sent.outcomes == [outcomes.Lost(outcomes.GARBLED)]
+
+
+async def test_a_failure_stands_before_its_copy_or_that_of_another():
+    refused = servers.answer(b"a", 503, executed=False)
+    for behind in (refused, servers.answer(b"b", 200)):
+        with servers.started() as server:
+            sent = await server.send("a")
+            sent.connection.write(refused + behind)
+            sent.connection.deliver()
+        assert sent.outcomes == [outcomes.NotRun(outcomes.SHED, arrived=True)]
+
+
 async def test_the_next_request_is_not_sent_before_a_copy_was_read():
     with servers.started() as server:
         one = await server.send("a")
