Find the ID in a body however the header's line is spaced and ended

Cause: since an answer within a body was found only if its ID stood between one space and CRLF; HTTP allows none or several, and tabs. Change: any of them, and LF by itself; a request without an ID isn't searched for. Measured: 11 of the 12 cases of the test failed before, all pass now.

--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import enum
+import re
 import typing
 
 import structlog
@@ -284,10 +285,13 @@
 
     def _is_doubled(self, response: responseparser.Response) -> bool:
         """Returns whether a body holds the answer to its own request."""
-        named = b": %s\r\n" % self._expected.request_id.encode("latin-1")
-        return named in response.body and responseparser.contains_status_line(
-            response.body
-        )
+        request_id = self._expected.request_id.encode("latin-1")
+        if not request_id or request_id not in response.body:
+            return False
+        named = rb":[ \t]*" + re.escape(request_id) + rb"[ \t]*\r?\n"
+        return bool(
+            re.search(named, response.body)
+        ) and responseparser.contains_status_line(response.body)
 
     def _end_request(self, response: responseparser.Response) -> None:
         if self._transport.get_write_buffer_size():
--- a/tests/relay/test_answers_to_requests.py
+++ b/tests/relay/test_answers_to_requests.py
@@ -304,9 +304,13 @@
     assert sent.outcomes[0].body == body
 
 
-async def test_a_body_with_the_whole_own_answer_in_it_is_none():
+@pytest.mark.parametrize("end", [b"\r\n", b" \r\n", b"\n"])
+@pytest.mark.parametrize("space", [b"", b" ", b"\t", b"  "])
+async def test_a_body_with_the_whole_own_answer_in_it_is_none(space, end):
     # The head tells a length that takes the second answer in.
-    whole = servers.answer(b"a", 200, b"p1", b"body")
+    whole = servers.answer(b"a", 421, b"p1", b"body").replace(
+        b": a\r\n", b":%sa%s" % (space, end)
+    )
     with servers.started() as server:
         sent = await server.send("a")
         sent.connection.write(servers.answer(b"a", 200, b"p1", b"bo" + whole))
