Promise nothing of a call after late greetings of two earlier starts

What callers would have seen: 'not run' for a call that was running, and a second run of it elsewhere. Cause: the last number of the start that was known before was kept when a late greeting of an earlier one came; a second one took its place. Change: the last number of the newest start that sent calls is kept.

--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -149,11 +149,13 @@
         if known in (None, boot):
             return
         self._abandon(name)
-        # A late Hello of an earlier start may precede another one of the
-        # known start, whose calls have arrived all the same.
-        for key in list(self._last_numbers):
-            if key[0] == name and key[1] not in (known, boot):
-                del self._last_numbers[key]
+        # Late Hellos of earlier starts may precede another one of the newest
+        # start, whose calls have arrived all the same.
+        starts = [one for of, one in self._last_numbers if of == name]
+        kept = {boot, max(starts, default=boot)}
+        for start in starts:
+            if start not in kept:
+                del self._last_numbers[name, start]
 
     def _abandon(self, name: str) -> None:
         """Cancels and removes the calls of an earlier start of a peer."""
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -306,18 +306,22 @@
         assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
 
 
-async def _greet(port, boot):
-    """Greets a peer server as a start of the sender, on a new connection."""
+async def _greet(port, *boots):
+    """Greets a peer server as starts of the sender, on new connections."""
     loop = asyncio.get_running_loop()
-    _, stream = await loop.create_connection(
-        lambda: streams.Stream(
-            lambda *said: None, lambda ended: None, traffic.create_traffic()
-        ),
-        "127.0.0.1",
-        port,
-    )
-    stream.send(frames.Hello(samples.statement("a", boot=boot), 0))
-    stream._flush()
+    greeting = []
+    for boot in boots:
+        _, stream = await loop.create_connection(
+            lambda: streams.Stream(
+                lambda *said: None, lambda ended: None, traffic.create_traffic()
+            ),
+            "127.0.0.1",
+            port,
+        )
+        stream.send(frames.Hello(samples.statement("a", boot=boot), 0))
+        greeting.append(stream)
+    for stream in greeting:
+        stream._flush()
 
 
 async def test_a_late_greeting_of_an_earlier_start_makes_no_run_unrun():
@@ -327,12 +331,23 @@
         pair.restart_sender()
         pair.submit(idempotent=False)
         await pair.until(lambda: pair.serving.taken)
-        await _greet(pair.port, boot=1)
+        await _greet(pair.port, 1)
         await pair.until(lambda: pair.got)
         assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
         assert len(pair.serving.taken) == 1
 
 
+async def test_late_greetings_of_two_earlier_starts_make_no_run_unrun():
+    async with _pair() as pair:
+        pair.sender.statement = samples.statement("a", port=1, boot=9)
+        pair.reset()
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        await _greet(pair.port, 1, 2)
+        await pair.until(lambda: pair.got)
+        assert pair.got == [outcomes.Lost(outcomes.DAEMON_LOST)]
+
+
 async def test_an_answered_call_of_an_earlier_start_ends_none_of_its_number():
     # The sweep removed the call that had the number by then.
     async with _pair() as pair:
