Release the bodies of answers that a peer has acknowledged

Cause: since the list of finished calls has the calls themselves, an answer behind one that isn't acknowledged kept its body for up to 6 s. Change: a call that is removed drops its outcome, in one place for acknowledged, cancelled and abandoned calls. The new test calls the function that is new, so it can't fail on the code before; that it kept the bodies is by reading.

--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -159,11 +159,19 @@
 
     def _abandon(self, name: str) -> None:
         """Cancels and removes the calls of an earlier start of a peer."""
-        for key, accepted in list(self._calls.items()):
+        for key in list(self._calls):
             if key[0] == name:
-                del self._calls[key]
-                if accepted.outcome is None and accepted.handle is not None:
-                    accepted.handle.cancel()
+                self._forget(key)
+
+    def _forget(self, key: tuple[str, int]) -> None:
+        """Removes a call; cancels it if it is under way."""
+        accepted = self._calls.pop(key, None)
+        if accepted is None:
+            return
+        # The list of finished calls may have it for longer.
+        accepted.outcome = None
+        if accepted.handle is not None:
+            accepted.handle.cancel()
 
     def _on_run(self, stream: streams.Stream, run: frames.Run) -> None:
         if self._streams.get(stream.peer) is not stream:
@@ -220,13 +228,11 @@
 
     def _on_acknowledged(self, stream: streams.Stream, received: int) -> None:
         while stream.acknowledged < received and stream.answered:
-            self._calls.pop(stream.answered.popleft(), None)
+            self._forget(stream.answered.popleft())
             stream.acknowledged += 1
 
     def _on_cancel(self, stream: streams.Stream, number: int) -> None:
-        accepted = self._calls.pop((stream.peer, number), None)
-        if accepted is not None and accepted.outcome is None:
-            accepted.handle.cancel()
+        self._forget((stream.peer, number))
 
     def _on_resume(self, stream: streams.Stream, numbers: list[int]) -> None:
         for number in numbers:
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -365,6 +365,25 @@
         assert pair.got == [_RAN, _FAILED]
 
 
+async def test_an_acknowledged_answer_behind_a_retained_one_is_released():
+    # The list of finished calls kept its body.
+    async with _pair() as pair:
+        for _ in range(2):
+            pair.submit()
+        await pair.until(lambda: len(pair.serving.taken) == 2)
+        for _, callback in pair.serving.taken:
+            callback(_RAN)
+        await pair.until(lambda: len(pair.got) == 2)
+        first, second = pair.peer_server._finished
+        pair.peer_server._forget(second[0])
+        pair.peer_server.sweep()
+        assert [one.outcome for _, one in pair.peer_server._finished] == [
+            _RAN,
+            None,
+        ]
+        assert first[1].outcome == _RAN
+
+
 class _RawPeer:
     """A peer that says what the test says; it greets by itself.
 
