Let the primary watcher of a data centre ask the store often

Cause: a watch that waits can't tell a store without changes from one whose answer was lost. The two daemons that watch for all others waited 28 s + 1 s for an answer that would never come, and went on saying WATCHING. Nobody else asked, since WATCHING stood for the link to the watcher and its last success, not for a read of known age.

Ruled out: a version that was read and not told (no daemon had read it before), and a failure to reconnect (the first new call succeeded). TCP keep-alive didn't show it, as the other end answers.

Change: the first watcher that works, the primary one, waits 1.5 s at most for the configuration, so it fails 2.5 s after the last answer at the latest, and the next one reads at once. A daemon that becomes the primary one reads at once too. The answer tells the store's revision: records behind the revision told before are read again, as their answer may be lost as well. A failing watch of the configuration ends that of the records. Watchers tell the age of their last read; where all told are too old, they don't count as watchers.

Why it works: silence is now bounded by the watcher's own time limit, whatever made it, and a watcher's word by the age of the read behind it.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -223,7 +223,10 @@
         self._counters.include(
             fleetmetrics.create_fleet_metrics(
                 fleetmetrics.Parts(
-                    self._directory, self._feed, lambda: self._catalog.version
+                    directory=self._directory,
+                    feed=self._feed,
+                    version=lambda: self._catalog.version,
+                    read_age_s=lambda: self._store_access.read_age_s,
                 )
             )
         )
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -226,7 +226,7 @@
             return
         self._feeding.add(link.daemon)
         self._consumers.watchers.note(
-            link.daemon, watchers.parse_state(feed.state)
+            link.daemon, watchers.parse_state(feed.state), feed.read_age_s
         )
         if link.daemon not in self._followed:
             return
--- a/src/savorybend/relay/fleetmetrics.py
+++ b/src/savorybend/relay/fleetmetrics.py
@@ -18,11 +18,14 @@
         directory: The other daemons.
         feed: This daemon's copy of the records.
         version: Returns the version of the configuration in force.
+        read_age_s: Returns the age of the newest read of the configuration
+            that this daemon made or heard of, in seconds.
     """
 
     directory: directory.Directory
     feed: recordfeed.RecordFeed
     version: collections.abc.Callable[[], int]
+    read_age_s: collections.abc.Callable[[], float]
 
 
 class FleetMetrics(registry.Collector):
@@ -66,6 +69,12 @@
             "Version of the configuration in force",
             self._parts.version(),
         )
+        yield core.GaugeMetricFamily(
+            "savorybend_store_read_age_seconds",
+            "Age of the newest read of the configuration in the store, by this "
+            "daemon or by a watcher that told of it",
+            self._parts.read_age_s(),
+        )
 
 
 def create_fleet_metrics(parts: Parts) -> FleetMetrics:
--- a/src/savorybend/relay/frames.py
+++ b/src/savorybend/relay/frames.py
@@ -70,15 +70,18 @@
 
 
 class Feed(msgspec.Struct, array_like=True, frozen=True):
-    """What a daemon has of the store's records.
+    """What a daemon has read in the store.
 
     Attributes:
         state: A `watchers.State`: whether it watches the store.
-        position: Position of its copy; None without one.
+        position: Position of its copy of the records; None without one.
+        read_age_s: Age of its own last read of the configuration, in seconds;
+            0 from a daemon of a version that doesn't tell it.
     """
 
     state: int
     position: Position | None
+    read_age_s: float = 0.0
 
 
 class Hello(msgspec.Struct, array_like=True, tag=10, frozen=True):
--- a/src/savorybend/relay/presence.py
+++ b/src/savorybend/relay/presence.py
@@ -16,9 +16,11 @@
 from savorybend.relay import frames
 from savorybend.relay import store
 
-# Long, so that an idle watch costs little. A store that stops responding is
-# detected by the operating system's TCP keep-alive probes.
-_WATCH_TIMEOUT_S = 28.0
+# An idle watch costs little. Silence until then may also mean that the store's
+# answer was lost.
+LONGEST_WAIT_S = 28.0
+# The shortest wait that the store accepts: it answers at once.
+_CHECK_WAIT_S = 0.001
 _MAX_BACKOFF_S = 1.0
 # Changes within this period are written with one call.
 _WRITE_DELAY_S = 0.02
@@ -37,6 +39,7 @@
 _log = structlog.get_logger()
 
 BatchingDelay = collections.abc.Callable[[], float]
+Wait = collections.abc.Callable[[], float]
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -343,6 +346,11 @@
     return 0.0
 
 
+def longest_wait_s() -> float:
+    """Returns the longest wait for a change, in seconds."""
+    return LONGEST_WAIT_S
+
+
 def _usual_backoff_s() -> float:
     return _MAX_BACKOFF_S
 
@@ -369,11 +377,15 @@
         rng: random.Random,
         batching_delay_s: BatchingDelay,
         max_backoff_s: collections.abc.Callable[[], float] = _usual_backoff_s,
+        wait_s: Wait = longest_wait_s,
     ):
         self._kind = kind
         self._store = client
         self._batching_delay_s = batching_delay_s
         self._max_backoff_s = max_backoff_s
+        self._wait_s = wait_s
+        self._waiting: asyncio.Timeout | None = None
+        self._check_due = False
         self._backoff = _create_backoff(rng)
         self._reachable = True
         self._established = False
@@ -407,9 +419,9 @@
                     listing = await self._store.list(self._kind)
                     on_listing(listing)
                 else:
-                    listing = await self._store.watch(
-                        self._kind, revision, _WATCH_TIMEOUT_S, era
-                    )
+                    listing = await self._watch(revision, era)
+                    if listing is None:
+                        continue
                     on_changes(listing)
                 revision, era = listing.revision, listing.era
                 self._note_success()
@@ -426,6 +438,27 @@
                     min(self._max_backoff_s(), self._backoff.fail())
                 )
 
+    def check(self) -> None:
+        """Asks the store at once, in place of a watch that is waiting."""
+        self._check_due = True
+        if self._waiting is not None:
+            self._waiting.reschedule(asyncio.get_running_loop().time())
+            self._waiting = None
+
+    async def _watch(self, revision: int, era: int) -> store.Listing | None:
+        """Returns the changes after a revision; None if `check` ended it."""
+        wait_s = _CHECK_WAIT_S if self._check_due else self._wait_s()
+        self._check_due = False
+        try:
+            async with asyncio.timeout(None) as self._waiting:
+                return await self._store.watch(
+                    self._kind, revision, wait_s, era
+                )
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting = None
+
     def note_error(self) -> None:
         """Notes that an unexpected error has ended `run`."""
         self._reachable = False
--- a/src/savorybend/relay/recordfeed.py
+++ b/src/savorybend/relay/recordfeed.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from savorybend.internal import timers
 from savorybend.relay import frames
 from savorybend.relay import replica
 from savorybend.relay import store
@@ -21,10 +22,12 @@
     Attributes:
         replica: The copy of the records.
         push: Sends a message to each daemon that follows this one.
+        clock: The source of time.
     """
 
     replica: replica.Replica
     push: Send
+    clock: timers.Clock
 
 
 class RecordFeed:
@@ -32,12 +35,24 @@
 
     def __init__(self, parts: Parts):
         self._parts = parts
+        self._read_s = parts.clock.now_s()
         self.state = watchers.State.IDLE
 
     @property
     def feed(self) -> frames.Feed:
-        """What this daemon tells others of its copy."""
-        return frames.Feed(self.state, self._parts.replica.position)
+        """What this daemon tells others of its reads."""
+        return frames.Feed(
+            self.state, self._parts.replica.position, self.read_age_s
+        )
+
+    @property
+    def read_age_s(self) -> float:
+        """Age of this daemon's own last read of the configuration."""
+        return self._parts.clock.now_s() - self._read_s
+
+    def note_read(self) -> None:
+        """Notes that this daemon has read the configuration in the store."""
+        self._read_s = self._parts.clock.now_s()
 
     def on_listing(self, listing: store.Listing) -> None:
         """Applies the complete records that this daemon read in the store."""
--- a/src/savorybend/relay/storeaccess.py
+++ b/src/savorybend/relay/storeaccess.py
@@ -70,7 +70,11 @@
         self._updates = self._create_updates()
         self._replica = replica.create_replica(self._updates)
         self._feed = recordfeed.create_record_feed(
-            recordfeed.Parts(replica=self._replica, push=parts.push)
+            recordfeed.Parts(
+                replica=self._replica,
+                push=parts.push,
+                clock=parts.timers.clock,
+            )
         )
         self._reaper = self._create_reaper()
         self._watch = self._create_watch()
@@ -85,6 +89,11 @@
         """Passes records on to the daemons that don't watch the store."""
         return self._feed
 
+    @property
+    def read_age_s(self) -> float:
+        """Age of the newest read of the configuration, in seconds."""
+        return min(self._feed.read_age_s, self._watchers.read_age_s)
+
     def begin(self) -> None:
         """Starts to read the store, and to remove records of ended daemons."""
         self._parts.start(self._watch.run())
--- a/src/savorybend/relay/storewatch.py
+++ b/src/savorybend/relay/storewatch.py
@@ -9,6 +9,7 @@
 
 from savorybend.internal import budget
 from savorybend.internal import errors
+from savorybend.relay import frames
 from savorybend.relay import presence
 from savorybend.relay import recordfeed
 from savorybend.relay import replica
@@ -76,6 +77,9 @@
         self._parts = parts
         self._running: dict[store.Kind, _Running] = {}
         self._followed_by_others = False
+        self._primary = False
+        # Position of the store when it last answered.
+        self._store_position: frames.Position | None = None
         self._backoff = budget.create_backoff(parts.rng)
         self._restarts = budget.create_backoff(parts.rng)
 
@@ -134,10 +138,20 @@
         self._parts.follow(selection.followed)
         if selection.watches and not self._parts.stopping():
             self._watch()
+            self._set_primary(selection.primary)
         else:
             self._stop()
+            self._primary = False
         self._report()
 
+    def _set_primary(self, primary: bool) -> None:
+        """Asks the store at once if the others now rely on this daemon."""
+        became_primary = primary and not self._primary
+        self._primary = primary
+        configuration = self._running.get(store.CONFIGURATION)
+        if became_primary and configuration.follower.established:
+            configuration.follower.check()
+
     def _watch(self) -> None:
         """Starts what should run: the records only once the store answers."""
         self._drop_ended()
@@ -150,7 +164,9 @@
         if records is None:
             if configuration.follower.established:
                 self._start(store.DAEMONS)
-        elif configuration.follower.failing and records.follower.failing:
+        elif configuration.follower.failing:
+            # What makes one of the watches fail is likely to affect both, and
+            # the other one may wait for an answer that was lost.
             self._cancel(store.DAEMONS)
 
     def _start(self, kind: store.Kind) -> None:
@@ -163,6 +179,9 @@
             if kind is store.DAEMONS
             else presence.no_batching_delay_s,
             self._max_backoff_s,
+            presence.longest_wait_s
+            if kind is store.DAEMONS
+            else self._configuration_wait_s,
         )
         if kind is store.DAEMONS:
             position = parts.replica.position
@@ -175,13 +194,26 @@
             )
         else:
             work = follower.run(
-                parts.on_configurations, parts.on_configurations
+                self._on_configurations, self._on_configurations
             )
         task = asyncio.get_running_loop().create_task(
             self._follow(kind, follower, work)
         )
         self._running[kind] = _Running(follower, task)
 
+    def _on_configurations(self, listing: store.Listing) -> None:
+        self._parts.feed.note_read()
+        self._parts.on_configurations(listing)
+        before = self._store_position
+        self._store_position = frames.Position(listing.era, listing.revision)
+        records = self._running.get(store.DAEMONS)
+        if records is None or listing.objects or not self._primary:
+            return
+        if self._parts.feed.misses(before):
+            # Something was written before the last wait began. If it was a
+            # record, the answer that told of it was lost.
+            records.follower.check()
+
     async def _follow(
         self,
         kind: store.Kind,
@@ -237,6 +269,11 @@
             return _MAX_BACKOFF_SERVED_S
         return _MAX_BACKOFF_S
 
+    def _configuration_wait_s(self) -> float:
+        if self._primary:
+            return watchers.PRIMARY_WAIT_S
+        return presence.LONGEST_WAIT_S
+
     def _batching_delay_s(self) -> float:
         return min(
             _MAX_BATCHING_DELAY_S,
--- a/src/savorybend/relay/watchers.py
+++ b/src/savorybend/relay/watchers.py
@@ -5,6 +5,10 @@
 each data centre, by rendezvous hash, watch; the others follow them. Daemons
 that see the fleet differently may choose differently: one watcher too many
 costs a few calls, and a daemon that hears from none watches by itself.
+
+A watch that waits can't tell a store without changes from one whose answers
+are lost. So the first watcher that works, the primary one, asks often, and all
+tell how old their last read is.
 """
 
 import collections.abc
@@ -27,6 +31,13 @@
 _TAKEOVER_S = 1.0
 # Without a word from any watcher for this long, a daemon watches by itself.
 _SILENCE_S = 1.2
+# Longest wait of the primary watcher for an answer of the store. Each data
+# centre makes this many calls, so a shorter one costs; with the takeover, a
+# longer one would delay changes beyond what operators expect.
+PRIMARY_WAIT_S = 1.5
+# Watchers don't count as such while all reads that they tell of are older than
+# this: the wait, a slow answer, and the time between two words.
+_MAX_READ_AGE_S = PRIMARY_WAIT_S + 1.0 + _SILENCE_S
 # Mean time between the attempts of a daemon beyond `_MAX_FAILING`.
 _RARE_ATTEMPT_S = 10.0
 _SALT = "store watcher"
@@ -58,10 +69,12 @@
         watches: Whether this daemon should watch the store.
         followed: Names of the daemons that it should keep connections to, the
             preferred ones first.
+        primary: Whether no watcher that works is preferred to this daemon.
     """
 
     watches: bool
     followed: tuple[str, ...]
+    primary: bool = False
 
 
 class Parts(typing.NamedTuple):
@@ -98,20 +111,37 @@
         self._expected_since_s: dict[str, float] = {}
         self._scores: dict[str, int] = {}
         self._watcher_heard_s = parts.clock.now_s()
+        # When the newest read that a watcher told of was made.
+        self._read_s = parts.clock.now_s()
         self._next_attempt_s: float | None = None
 
     @property
     def served(self) -> bool:
         """Whether another daemon watched the store a moment ago."""
         now_s = self._parts.clock.now_s()
-        return now_s - self._watcher_heard_s <= _SILENCE_S
+        if now_s - self._watcher_heard_s > _SILENCE_S:
+            return False
+        # Those that are selected begin first.
+        return self.read_age_s <= _MAX_READ_AGE_S + _SILENCE_S
+
+    @property
+    def read_age_s(self) -> float:
+        """Age of the newest read that a watcher told of, in seconds."""
+        return self._parts.clock.now_s() - self._read_s
 
-    def note(self, daemon: str, state: State) -> None:
-        """Records what a daemon says of itself."""
+    def note(self, daemon: str, state: State, read_age_s: float) -> None:
+        """Records what a daemon says of itself.
+
+        Args:
+            daemon: The daemon's name.
+            state: Whether it watches the store.
+            read_age_s: Age of its last read of the configuration, in seconds.
+        """
         now_s = self._parts.clock.now_s()
         self._heard[daemon] = _Heard(state, now_s)
         if state is State.WATCHING:
             self._watcher_heard_s = now_s
+            self._read_s = max(self._read_s, now_s - max(0.0, read_age_s))
             self._next_attempt_s = None
 
     def select(self, own_state: State) -> Selection:
@@ -125,11 +155,13 @@
         usable = 0
         failing = 0
         watches = False
+        primary = False
         for name in self._ranked():
             if name == self._parts.own:
                 watches = failing < _MAX_FAILING
+                primary = usable == 0
                 if watches and own_state is not State.FAILING:
-                    return Selection(True, tuple(followed))
+                    return Selection(True, tuple(followed), primary)
                 failing += 1
                 continue
             followed.append(name)
@@ -140,7 +172,7 @@
             if usable == _WATCHERS or len(followed) == _MAX_FOLLOWED:
                 break
         watches = watches or self._watches_alone(failing)
-        return Selection(watches, tuple(followed))
+        return Selection(watches, tuple(followed), primary or usable == 0)
 
     def _ranked(self) -> list[str]:
         names = [self._parts.own, *self._parts.nearby()]
@@ -160,7 +192,7 @@
             return False
         if heard is not None and heard.state is State.WATCHING:
             self._expected_since_s.pop(name, None)
-            return True
+            return self.read_age_s <= _MAX_READ_AGE_S
         if heard is not None and heard.state is State.FAILING:
             return False
         since_s = self._expected_since_s.setdefault(name, now_s)
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -23,7 +23,8 @@
     BUSY = "busy"  # 503, nothing is done.
     MANY = "many"  # 429, nothing is done.
     RESET = "reset"  # The connection is reset, nothing is done.
-    SILENT = "silent"  # Nothing comes back, nothing is done.
+    # Nothing comes back, nothing is done, and waiting watches get no answer.
+    SILENT = "silent"
     LOST = "lost"  # Writes are done, and their answers are lost.
 
 
@@ -93,6 +94,10 @@
         """The revision of the last change."""
         return self._revision
 
+    def trouble_at(self, host):
+        """Returns how the store misbehaves at an address."""
+        return self.troubles.get(host, self.trouble)
+
     def get(self, kind, name):
         """Returns an object, or None."""
         return self._kinds.get(kind, {}).get(name)
@@ -168,7 +173,7 @@
             return await handler(request)
         store.calls[request.method] = store.calls.get(request.method, 0) + 1
         host = request.transport.get_extra_info("sockname")[0]
-        trouble = store.troubles.get(host, store.trouble)
+        trouble = store.trouble_at(host)
         match trouble:
             case Trouble.BUSY:
                 return _refuse(store, 503)
@@ -180,6 +185,8 @@
             case Trouble.SILENT:
                 await asyncio.sleep(3600)
         response = await handler(request)
+        if store.trouble_at(host) is Trouble.SILENT:
+            await asyncio.sleep(3600)
         response.headers["Store-Era"] = str(store.era)
         if trouble is Trouble.LOST and request.method != "GET":
             request.transport.abort()
--- a/tests/platform/test_store_watch.py
+++ b/tests/platform/test_store_watch.py
@@ -9,6 +9,9 @@
 from standins import objects as standin_store
 from tests.platform import fleets
 
+# A configuration is in force within two seconds, at daemons that three seconds
+# have passed for since the last trouble.
+_BOUND_S = 5.0
 _SERVICES = ["ledger", "ledger", "ledger", "shop", "shop", "shop"]
 
 
@@ -161,3 +164,58 @@
         return status == 200
 
     await fleet.until(served)
+
+
+async def _silence(fleet, machines):
+    """Makes the store silent to machines, as their watches wait."""
+    for machine in machines:
+        fleet.store.troubles[machine.store_host] = standin_store.Trouble.SILENT
+
+
+async def _withdrawn(fleet, machines):
+    """Returns whether a key opens nothing any more at machines."""
+    answers = [await fleet.call(machine, "/reads/x") for machine in machines]
+    return all(status == 401 for status, _, _ in answers)
+
+
+async def test_a_key_withdrawn_as_the_store_is_silent_to_both_watchers(fleet):
+    # It worked on everywhere until the watches ended, 29 s after they began.
+    silenced = await _watching(fleet)
+    others = [one for one in fleet.machines if one not in silenced]
+    await _silence(fleet, silenced)
+    await fleet.submit(version=7, keys=["another"])
+    async with asyncio.timeout(_BOUND_S):
+        await fleet.until(lambda: _withdrawn(fleet, others))
+    fleet.store.troubles.clear()
+    async with asyncio.timeout(_BOUND_S):
+        await fleet.until(lambda: _withdrawn(fleet, fleet.machines))
+
+
+async def test_a_server_that_left_as_the_store_is_silent_to_both_watchers(
+    fleet,
+):
+    silenced = await _watching(fleet)
+    others = [one for one in fleet.machines if one not in silenced]
+    await _silence(fleet, silenced)
+    gone = others[0].name
+    found = fleet.store.get("savorybend-daemons", gone)
+    others[0].signal(signal.SIGKILL)
+    await others[0].ended()
+    await fleet.store.write("savorybend-daemons", found, deleted=True)
+
+    async def forgotten():
+        name = 'savorybend_known_daemons{state="ready"}'
+        return [await one.metric(name) for one in others[1:]] == [4.0] * 3
+
+    async with asyncio.timeout(_BOUND_S):
+        await fleet.until(forgotten)
+
+
+async def test_the_age_of_the_last_read_shows_that_nobody_reads(fleet):
+    name = "savorybend_store_read_age_seconds"
+    ages = [await one.metric(name) for one in fleet.machines]
+    assert max(ages) < _BOUND_S
+    fleet.store.trouble = standin_store.Trouble.SILENT
+    await asyncio.sleep(_BOUND_S)
+    ages = [await one.metric(name) for one in fleet.machines]
+    assert min(ages) > watchers.PRIMARY_WAIT_S
--- a/tests/relay/test_recordfeed.py
+++ b/tests/relay/test_recordfeed.py
@@ -7,6 +7,7 @@
 from savorybend.relay import recordfeed
 from savorybend.relay import replica
 from savorybend.relay import store
+from tests import fakes
 
 
 class _Consumer:
@@ -27,7 +28,9 @@
         self.feeds = [
             recordfeed.create_record_feed(
                 recordfeed.Parts(
-                    copy, lambda message, own=own: self._push(own, message)
+                    copy,
+                    lambda message, own=own: self._push(own, message),
+                    fakes.create_clock(),
                 )
             )
             for own, copy in enumerate(self.copies)
--- a/tests/relay/test_watchers.py
+++ b/tests/relay/test_watchers.py
@@ -12,6 +12,8 @@
 # Below it, the time to fetch a configuration must fit into the users' bound of
 # two seconds at least.
 _TAKEOVER_BOUND_S = 1.6
+# The users' two seconds, and their three in which a machine may settle.
+_MAX_READ_AGE_S = 5.0
 
 
 class _Daemon:
@@ -20,6 +22,7 @@
         self.name = name
         self.state = watchers.State.IDLE
         self.attempts = 0
+        self.read_s = 0.0
         self.heard_s = {}
         self.selection = watchers.Selection(False, ())
         self.watchers = watchers.create_watchers(
@@ -41,6 +44,15 @@
             self.attempts += 1
         else:
             self.state = watchers.State.WATCHING
+            self._read()
+
+    def _read(self):
+        """Reads as the store watch does, unless its answers are lost."""
+        now_s = self.site.clock.now_s()
+        if self.name in self.site.deaf:
+            return
+        if self.selection.primary or not self.read_s:
+            self.read_s = now_s
 
     def listen(self):
         now_s = self.site.clock.now_s()
@@ -49,8 +61,9 @@
                 continue
             if now_s - self.heard_s.get(other, 0.0) >= _PING_INTERVAL_S:
                 self.heard_s[other] = now_s
-                state = self.site.daemons[other].state
-                self.watchers.note(other, state)
+                daemon = self.site.daemons[other]
+                age_s = now_s - daemon.read_s
+                self.watchers.note(other, daemon.state, age_s)
 
 
 class _Site:
@@ -61,6 +74,7 @@
         self.rng = random.Random(1)
         self.lost = set()
         self.refused = set()
+        self.deaf = set()
         self.down = False
         self.daemons = {}
         for number in range(count):
@@ -172,3 +186,37 @@
 def test_a_state_of_a_later_version_counts_as_idle():
     assert watchers.parse_state(99) is watchers.State.IDLE
     assert watchers.parse_state(1) is watchers.State.WATCHING
+
+
+@pytest.mark.parametrize("count", [3, 39, 200])
+def test_watchers_that_tell_only_of_old_reads_are_replaced_by_few(count):
+    site = _Site(count)
+    site.advance(5.0)
+    site.deaf = set(site.watching())
+    site.advance(_MAX_READ_AGE_S)
+    fresh = [
+        one
+        for one in site.living()
+        if site.clock.now_s() - one.read_s < _MAX_READ_AGE_S
+    ]
+    assert fresh
+    assert len(site.watching()) <= 6
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 39, 200])
+def test_a_data_centre_has_one_primary_watcher(count):
+    site = _Site(count)
+    site.advance(20.0)
+    primary = [one.name for one in site.living() if one.selection.primary]
+    assert len(primary) == 1
+    assert site.watching() >= set(primary)
+
+
+def test_the_next_watcher_becomes_the_primary_one_as_the_first_is_lost():
+    site = _Site(39)
+    site.advance(5.0)
+    site.lost = {one.name for one in site.living() if one.selection.primary}
+    site.advance(_TAKEOVER_BOUND_S)
+    primary = {one.name for one in site.living() if one.selection.primary}
+    assert len(primary) == 1
+    assert site.watching() >= primary
