Give calls that enter during a stop until its end, or refuse them

Cause: whether a call was taken depended on the kind of its route and a fixed 3 s, not on whether it could end in what was left. Calls on open routes, which are those of the backend server, were taken until the end of the process, with the deadline of their caller. 3 s also left 0.2 s of a grace period of 4 s, and 2 s for other daemons outlasted one of 2 s. What was under way at the end got nothing.

Change: a call that enters during a stop has its deadline 1.1 s before the kill, and the backend server is told so: it ends the call with its own 504, which still reaches the caller. A call whose route usually takes more than half of what is left is refused with 503, which is true, since it wasn't passed on. 0.8 s before the kill, whatever has no answer gets one: 502, or 503 if it waited for a token. All limits follow from the grace period.

Why it works: nothing is begun whose end can't be told, and the last word doesn't depend on the kind of call.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -38,6 +38,7 @@
 from savorybend.relay import retrybudget
 from savorybend.relay import servermetrics
 from savorybend.relay import serverterms
+from savorybend.relay import servicetimes
 from savorybend.relay import serving
 from savorybend.relay import settings
 from savorybend.relay import shutdown
@@ -324,6 +325,8 @@
                 timers=self._timers,
                 random_fraction=self._rng.random,
                 takes_calls=self._takes_calls,
+                work_ends_s=lambda: self._shutdown.work_ends_s,
+                route_times=servicetimes.ServiceTimes(),
             )
         )
 
--- a/src/savorybend/relay/callers.py
+++ b/src/savorybend/relay/callers.py
@@ -48,6 +48,7 @@
         headers: Names in lower case, and values.
         body: The complete body.
         on_disconnect: Called if the caller disconnects before the answer.
+        on_shutdown: Called if the daemon ends before the answer; gives one.
     """
 
     __slots__ = (
@@ -56,6 +57,7 @@
         "headers",
         "body",
         "on_disconnect",
+        "on_shutdown",
         "_connection",
         "_keep",
         "_answer",
@@ -70,6 +72,7 @@
         self.headers: http1.Headers = []
         self.body = b""
         self.on_disconnect: collections.abc.Callable[[], None] | None = None
+        self.on_shutdown: collections.abc.Callable[[], None] | None = None
 
     @property
     def answered(self) -> bool:
@@ -99,6 +102,7 @@
         close = b"" if self._keep and not self._connection.closing else _CLOSE
         self._keep = not close
         self.on_disconnect = None
+        self.on_shutdown = None
         self._answer = b"%s%sContent-Length: %d\r\n%s\r\n%s" % (
             http1.status_line(status),
             head,
@@ -173,6 +177,11 @@
         """Closes each connection after its next answer from now on."""
         self._closing = True
 
+    def end_requests(self) -> None:
+        """Answers all requests that still wait for an answer."""
+        for connection in list(self._connections):
+            connection.end_requests()
+
     def close_idle(self) -> None:
         """Closes the connections without a request under way."""
         for connection in list(self._connections):
@@ -313,6 +322,12 @@
         if len(queue) < _MAX_PIPELINED and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def end_requests(self) -> None:
+        """Answers the requests that still wait for an answer."""
+        for exchange in list(self._queue):
+            if not exchange.answered and exchange.on_shutdown is not None:
+                exchange.on_shutdown()
+
     def close_if_idle(self) -> None:
         """Closes the connection if no request is under way."""
         if not self._queue and self._current is None:
--- a/src/savorybend/relay/calls.py
+++ b/src/savorybend/relay/calls.py
@@ -155,7 +155,7 @@
         client_account: Its client account; for a child call the account of
             its parent request, or `NO_ACCOUNT` if the parent isn't known.
         deadline_s: When its caller stops waiting, by this VM's clock, in
-            seconds.
+            seconds; earlier if this daemon shuts down before.
         target_latency_s: Latency that the answer should stay below, in seconds.
     """
 
--- a/src/savorybend/relay/forwarding.py
+++ b/src/savorybend/relay/forwarding.py
@@ -19,6 +19,7 @@
 from savorybend.relay import loadbalancer
 from savorybend.relay import outcomes
 from savorybend.relay import retrybudget
+from savorybend.relay import servicetimes
 from savorybend.relay import splitting
 
 _BAD_GATEWAY = 502
@@ -87,6 +88,9 @@
         random_fraction: Returns a random number from 0 to 1, for jitter and
             sampling.
         takes_calls: Returns whether this daemon still accepts new calls.
+        work_ends_s: Returns when calls must have ended because this daemon
+            shuts down, in seconds of the clock; infinite if it doesn't.
+        route_times: How long calls take from their entry to their answer.
     """
 
     codec: IngressCodec
@@ -103,6 +107,8 @@
     timers: timers.TimerService
     random_fraction: collections.abc.Callable[[], float]
     takes_calls: collections.abc.Callable[[], bool]
+    work_ends_s: collections.abc.Callable[[], float]
+    route_times: servicetimes.ServiceTimes
 
 
 class Forwarding:
@@ -152,10 +158,17 @@
         self._last_outcome: outcomes.Outcome | None = None
 
     def begin(self) -> None:
-        """Sends the call to the first daemon and starts its deadline timer."""
+        """Sends the call to the first daemon and starts its deadline timer.
+
+        A call that lasts until the end of a shutdown is answered by that.
+        """
         self._exchange.on_disconnect = self._on_disconnect
-        left_s = self._call.deadline_s - self._started_s + _DEADLINE_GRACE_S
-        self._timer = self._parts.timers.after(left_s, self._on_deadline)
+        self._exchange.on_shutdown = self._on_shutdown
+        if self._call.deadline_s < self._parts.work_ends_s():
+            left_s = self._call.deadline_s - self._started_s
+            self._timer = self._parts.timers.after(
+                left_s + _DEADLINE_GRACE_S, self._on_deadline
+            )
         self._dispatch()
 
     def _dispatch(self) -> None:
@@ -246,6 +259,10 @@
     def _reply_last_outcome(self) -> None:
         match self._last_outcome:
             case outcomes.Ran() as ran:
+                now_s = self._parts.timers.clock.now_s()
+                self._parts.route_times.note(
+                    self._call.route, now_s - self._started_s
+                )
                 if len(self._tried) > 1:
                     self._log(
                         "call_answered_elsewhere",
@@ -310,6 +327,12 @@
         self._cancel_attempt()
         self._fail(_GATEWAY_TIMEOUT, outcomes.DEADLINE)
 
+    def _on_shutdown(self) -> None:
+        if self._finished:
+            return
+        self._cancel_attempt()
+        self._fail(_BAD_GATEWAY, outcomes.LEAVING)
+
     def _on_disconnect(self) -> None:
         if self._finished:
             return
@@ -328,8 +351,10 @@
 
     def _end(self) -> None:
         self._finished = True
-        self._timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         self._exchange.on_disconnect = None
+        self._exchange.on_shutdown = None
 
     def _log_outcome(self, event: str, outcome: outcomes.Outcome) -> None:
         self._log(
--- a/src/savorybend/relay/ingress.py
+++ b/src/savorybend/relay/ingress.py
@@ -29,6 +29,9 @@
 # Subtracted from the caller's timeout at each hop, so that the backend server
 # stops early enough for its own answer to reach the caller.
 _HOP_RESERVE_S = 0.005
+# During a shutdown, a call isn't begun in less than this many times what its
+# route's calls take.
+_ROUTE_TIMES_LEFT = 2.0
 
 _log = structlog.get_logger()
 
@@ -73,9 +76,7 @@
         if not self._parts.takes_calls():
             # Child calls of running requests are still accepted above, so that
             # those requests can complete.
-            self._reject(
-                exchange, incoming, _UNAVAILABLE, "leaving", _RETRY_AFTER_S
-            )
+            self._reject_leaving(routed)
             return
         name = configuration.keys.get(incoming.key)
         if name is None:
@@ -101,6 +102,7 @@
 
         def on_verdict(verdict: allowance.Granted | allowance.Refused) -> None:
             exchange.on_disconnect = None
+            exchange.on_shutdown = None
             match verdict:
                 case allowance.Granted():
                     self._begin(routed, account)
@@ -108,13 +110,24 @@
                     self._reject_over_limit(routed, account, verdict)
 
         waiter = self._parts.allowance.acquire_later(account, on_verdict)
+
+        def on_shutdown() -> None:
+            waiter.cancel()
+            self._reject_leaving(routed)
+
         if waiter.pending:
             exchange.on_disconnect = waiter.cancel
+            exchange.on_shutdown = on_shutdown
 
     def _begin(
         self, routed: "_RoutedRequest", account: calls.ClientAccount | None
     ) -> None:
         """Admits or sheds a call for which a rate limit token was taken."""
+        if self._would_be_cut(routed.route):
+            if account is not None:
+                self._parts.allowance.give_back(account)
+            self._reject_leaving(routed)
+            return
         call = self._create_call(routed, account)
         if account is not None:
             self._parts.budget.note_call(call.service)
@@ -130,6 +143,21 @@
             self._parts, routed.exchange, call, routed.route, account
         ).begin()
 
+    def _would_be_cut(self, route: calls.Route) -> bool:
+        """Returns whether a call might not end before this daemon does."""
+        left_s = self._parts.work_ends_s() - self._parts.timers.clock.now_s()
+        usual_s = self._parts.route_times.of(route.name)
+        return left_s <= usual_s * _ROUTE_TIMES_LEFT
+
+    def _reject_leaving(self, routed: "_RoutedRequest") -> None:
+        self._reject(
+            routed.exchange,
+            routed.incoming,
+            _UNAVAILABLE,
+            outcomes.LEAVING,
+            _RETRY_AFTER_S,
+        )
+
     def _reject_over_limit(
         self,
         routed: "_RoutedRequest",
@@ -202,7 +230,9 @@
             call.priority = admission.class_of(account.priority, route.priority)
         else:
             self._inherit_priority(call)
-        call.deadline_s = routed.arrived_s + left_s
+        call.deadline_s = min(
+            routed.arrived_s + left_s, self._parts.work_ends_s()
+        )
         call.target_latency_s = route.target_latency_s
         return call
 
--- a/src/savorybend/relay/outcomes.py
+++ b/src/savorybend/relay/outcomes.py
@@ -21,6 +21,7 @@
 GARBLED = "answer-garbled"
 DAEMON_LOST = "daemon-lost"
 DEADLINE = "deadline"
+LEAVING = "leaving"
 
 # Mean time of a backend server without recent answers.
 NOT_MEASURED_S = 0.0
--- a/src/savorybend/relay/shutdown.py
+++ b/src/savorybend/relay/shutdown.py
@@ -1,7 +1,14 @@
-"""Graceful shutdown: stop accepting calls, then drain calls in progress."""
+"""Graceful shutdown: stop accepting calls, then drain calls in progress.
+
+All limits follow from the grace period, after which the platform kills the
+daemon: calls that enter meanwhile end by `work_ends_s`; whoever has no answer
+at the answer limit gets one then; the daemon ends once all answers are written,
+or shortly before it would be killed.
+"""
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 import structlog
@@ -16,12 +23,20 @@
 # works. Otherwise a rolling restart of the daemons could leave a service of a
 # few backend servers without any.
 _SERVES_PEERS_S = 2.0
-_POLL_INTERVAL_S = 0.05
-# Calls accepted later than this might not end within the grace period.
+# By then the platform has redirected callers.
 _ACCEPTS_CALLS_S = 3.0
-# The shutdown ends this long before the platform kills the daemon: calls still
-# in progress then would be lost in any case.
-_EXIT_MARGIN_S = 0.8
+# Both of these end after this part of a short grace period at the latest.
+_MAX_ACCEPTING_FRACTION = 0.5
+_POLL_INTERVAL_S = 0.05
+# How long before the kill calls must have ended, so that the answers of the
+# backend servers, 504 among them, arrive before the answer limit.
+_WORK_MARGIN_S = 1.1
+# How long before the kill the remaining calls are answered without them.
+_ANSWER_MARGIN_S = 0.8
+# How long before the kill the daemon ends, though answers aren't all written.
+_EXIT_MARGIN_S = 0.3
+# Shortest grace period in which the margins fit as they are.
+_USUAL_GRACE_S = 4.0
 
 _log = structlog.get_logger()
 
@@ -60,14 +75,22 @@
     @property
     def takes_calls(self) -> bool:
         """Whether new calls from callers are still accepted."""
-        if not self.begun:
-            return True
-        return self._elapsed_s() < _ACCEPTS_CALLS_S
+        return self._accepts(_ACCEPTS_CALLS_S)
 
     @property
     def serves_peers(self) -> bool:
         """Whether calls from other daemons are still accepted."""
-        return not self.begun or self._elapsed_s() < _SERVES_PEERS_S
+        return self._accepts(_SERVES_PEERS_S)
+
+    @property
+    def work_ends_s(self) -> float:
+        """When all calls must have ended; infinite before a shutdown.
+
+        Unit: seconds of the clock.
+        """
+        if not self.begun:
+            return math.inf
+        return self._before_kill_s(_WORK_MARGIN_S)
 
     def begin(self) -> None:
         """Begins the shutdown."""
@@ -77,23 +100,35 @@
         _log.info("daemon_leaving", busy=self._parts.busy())
 
     async def wait(self) -> None:
-        """Waits until no call is in progress or the grace period runs out."""
+        """Waits until all calls are answered or the grace period runs out."""
         await self._requested.wait()
         while self.serves_peers:
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._parts.withdraw()
         while not self._is_over():
             await asyncio.sleep(_POLL_INTERVAL_S)
+        self._parts.callers.end_requests()
         self._parts.callers.close_idle()
 
     def _is_over(self) -> bool:
-        elapsed_s = self._elapsed_s()
-        if elapsed_s >= self._parts.grace_s - _EXIT_MARGIN_S:
+        now_s = self._parts.clock.now_s()
+        if now_s >= self._before_kill_s(_ANSWER_MARGIN_S):
             return True
-        return elapsed_s >= _MIN_DURATION_S and self._parts.busy() == 0
+        ended = self._parts.busy() == 0
+        return ended and now_s - self._started_s >= _MIN_DURATION_S
 
-    def _elapsed_s(self) -> float:
-        return self._parts.clock.now_s() - self._started_s
+    def _accepts(self, usual_s: float) -> bool:
+        """Returns whether a time since the shutdown's start isn't over."""
+        if not self.begun:
+            return True
+        limit_s = min(usual_s, self._parts.grace_s * _MAX_ACCEPTING_FRACTION)
+        return self._parts.clock.now_s() - self._started_s < limit_s
+
+    def _before_kill_s(self, margin_s: float) -> float:
+        """Returns the time that precedes the kill by a margin."""
+        grace_s = self._parts.grace_s
+        margin_s *= min(1.0, grace_s / _USUAL_GRACE_S)
+        return self._started_s + grace_s - margin_s
 
 
 def create_shutdown(parts: Parts) -> Shutdown:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -41,6 +41,8 @@
         draining: Whether it says that it is leaving.
         instance: Its ID.
         hold_s: How long it works on each request.
+        obeys_deadlines: Whether it ends its work with 504 at the deadline that
+            a request names.
         hold: Set to let requests that wait for it go on.
         crash_path: A request with this path ends the process; empty for none.
         crash_after_s: How long it works on such a request before that.
@@ -64,6 +66,7 @@
         self.seen = {}
         self.draining = False
         self.hold_s = 0.0
+        self.obeys_deadlines = False
         self.hold = asyncio.Event()
         self.hold.set()
         self.status = 200
@@ -195,6 +198,11 @@
                 await self.announce()
             await asyncio.sleep(_ANNOUNCE_EVERY_S)
 
+    def _time_left_s(self, request):
+        if not self.obeys_deadlines:
+            return None
+        return int(request.headers["Deadline-Ms"]) / 1000
+
     def _conditions(self):
         named = {"Server-Limit": self.limit} if self.limit else {}
         if self.leaving:
@@ -221,9 +229,13 @@
             await asyncio.sleep(self.crash_after_s)
             await self._crash(request)
             await self._crash_over.wait()
-        await asyncio.sleep(self.hold_s)
-        await self.hold.wait()
         headers = {"Request-Id": request_id, "Response-Signature": "s"}
+        try:
+            async with asyncio.timeout(self._time_left_s(request)):
+                await asyncio.sleep(self.hold_s)
+                await self.hold.wait()
+        except TimeoutError:
+            return web.Response(status=504, headers=headers)
         headers.update(self._conditions())
         if self.spoil == "reset":
             request.transport.abort()
--- a/tests/platform/test_stops_under_load.py
+++ b/tests/platform/test_stops_under_load.py
@@ -12,6 +12,9 @@
 _CONNECTIONS = 30
 _PIPELINED = 3
 _CLOSING = b"connection: close"
+_GRACE_S = 4.0
+_INTERVAL_S = 0.05
+_LATE_CALL_S = 0.3
 
 
 @pytest.fixture
@@ -22,10 +25,10 @@
         yield found
 
 
-def _request(path, number):
+def _request(path, number, method="GET"):
     return (
-        f"GET {path} HTTP/1.1\r\nHost: {fleets.HOST}\r\n"
-        f"Request-Id: {number}\r\nDeadline-Ms: 3000\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: {fleets.HOST}\r\n"
+        f"Request-Id: {number}\r\nDeadline-Ms: 8000\r\n"
         f"Api-Key: {fleets.KEY}\r\n\r\n"
     ).encode()
 
@@ -86,3 +89,99 @@
         await machine.ended()
         await machine.start_daemon()
         await fleet.until(machine.ready)
+
+
+def _ran(fleet, request_id):
+    return any(request_id in one.worker.ran for one in fleet.machines)
+
+
+async def _exchange(machine, path, request_id, method):
+    """Returns the status of the answer, 0 without a complete one."""
+    try:
+        reader, writer = await asyncio.open_connection(
+            machine.host, machine.base
+        )
+    except OSError:
+        return 0
+    try:
+        writer.write(_request(path, request_id, method))
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.lower().split(b"\r\n")
+        length = next(
+            int(one.partition(b":")[2])
+            for one in lines
+            if one.startswith(b"content-length")
+        )
+        await reader.readexactly(length)
+        return int(lines[0].split()[1])
+    except (OSError, asyncio.IncompleteReadError):
+        return 0
+    finally:
+        writer.close()
+
+
+async def _stop_under_calls(fleet, path, method):
+    """Sends calls from a SIGTERM to the end; returns statuses by ID."""
+    machine = fleet.machines[2]
+    busy = asyncio.create_task(_exchange(machine, "/posts/x", "busy", "POST"))
+    await asyncio.sleep(0.2)
+    for one in fleet.machines:
+        one.worker.hold_s = _LATE_CALL_S
+    machine.signal(signal.SIGTERM)
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    sent = {}
+    while machine.process.returncode is None:
+        name = f"late-{len(sent)}"
+        sent[name] = asyncio.create_task(_exchange(machine, path, name, method))
+        await asyncio.sleep(_INTERVAL_S)
+    assert loop.time() - started_s < _GRACE_S
+    await busy
+    return {name: await task for name, task in sent.items()}
+
+
+@pytest.mark.parametrize(
+    ("path", "method"),
+    [("/open/x", "GET"), ("/reads/x", "GET"), ("/posts/x", "POST")],
+)
+async def test_what_is_taken_late_in_a_stop_is_answered(fleet, path, method):
+    # Calls on open routes were taken up to the end, and cut there.
+    for one in fleet.machines:
+        one.worker.obeys_deadlines = True
+        one.worker.hold_s = 10.0
+    statuses = await _stop_under_calls(fleet, path, method)
+    cut = [
+        name
+        for name, status in statuses.items()
+        if status == 0 and _ran(fleet, name)
+    ]
+    assert not cut
+    untrue = [
+        name
+        for name, status in statuses.items()
+        if status == 503 and _ran(fleet, name)
+    ]
+    assert not untrue
+    assert 200 in statuses.values()
+
+
+async def test_what_is_under_way_as_a_stop_ends_is_answered(fleet):
+    # Connections were closed without a word.
+    posts = {**fleets.ROUTES["posts"], "timeout": "8000ms"}
+    await fleet.submit(version=2, routes={**fleets.ROUTES, "posts": posts})
+    await asyncio.sleep(1.0)
+    for one in fleet.machines:
+        one.worker.hold_s = 10.0
+    machine = fleet.machines[2]
+    under_way = [
+        asyncio.create_task(
+            _exchange(machine, "/posts/x", f"p-{number}", "POST")
+        )
+        for number in range(20)
+    ]
+    await asyncio.sleep(0.2)
+    machine.signal(signal.SIGTERM)
+    await machine.ended()
+    for number, status in enumerate(await asyncio.gather(*under_way)):
+        assert status in (502, 503, 504)
+        assert status != 503 or not _ran(fleet, f"p-{number}")
