Let a stop wait until callers have read their answers

Cause: a request counted as done once its answer was handed to the transport, so the process ended with the rest in its own write buffers.

Change: connections with bytes to write count as busy, those of callers and those of other daemons; after the last answers are given, the end waits for them until 0.3 s before the kill.

Why it works: the kernel sends what it has after the process is gone, so only the process's own buffers can be lost.

--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -255,6 +255,7 @@
             shutdown.Parts(
                 callers=self._callers,
                 busy=self._busy,
+                writing=self._writing,
                 withdraw=self._withdraw,
                 clock=clock,
                 grace_s=loaded_settings.grace_s,
@@ -385,6 +386,9 @@
     def _busy(self) -> int:
         return self._callers.busy + self._peer_server.busy + self._serving.busy
 
+    def _writing(self) -> int:
+        return self._callers.writing + self._peer_server.writing
+
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._on_term)
--- a/src/savorybend/relay/callers.py
+++ b/src/savorybend/relay/callers.py
@@ -154,6 +154,11 @@
         """Number of requests that wait for an answer."""
         return sum(one.pending for one in self._connections)
 
+    @property
+    def writing(self) -> int:
+        """Number of connections whose caller hasn't taken all answers."""
+        return sum(one.writing for one in self._connections)
+
     def create(self) -> "CallerConnection":
         """Returns the protocol for a new connection."""
         return CallerConnection(self)
@@ -222,6 +227,11 @@
         """Number of requests that wait for an answer."""
         return len(self._queue)
 
+    @property
+    def writing(self) -> bool:
+        """Whether bytes of answers wait to be written."""
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def closing(self) -> bool:
         """Whether the connection is closed after its next answer."""
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -55,6 +55,11 @@
         """Number of calls of peers that are under way."""
         return sum(1 for one in self._calls.values() if one.outcome is None)
 
+    @property
+    def writing(self) -> int:
+        """Number of connections with messages that wait to be written."""
+        return sum(one.writing for one in self._streams.values())
+
     def create(self) -> streams.Stream:
         """Returns the protocol for a new connection."""
         return streams.Stream(
--- a/src/savorybend/relay/shutdown.py
+++ b/src/savorybend/relay/shutdown.py
@@ -47,6 +47,7 @@
     Attributes:
         callers: The connections of callers.
         busy: Returns the number of calls in progress.
+        writing: Returns the number of connections with answers to write.
         withdraw: Tells the other daemons that no more calls are accepted.
         clock: The source of time.
         grace_s: Grace period until the daemon is killed, in seconds.
@@ -54,6 +55,7 @@
 
     callers: callers.CallerServer
     busy: collections.abc.Callable[[], int]
+    writing: collections.abc.Callable[[], int]
     withdraw: collections.abc.Callable[[], None]
     clock: timers.Clock
     grace_s: float
@@ -109,12 +111,22 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._parts.callers.end_requests()
         self._parts.callers.close_idle()
+        await self._write_answers()
+
+    async def _write_answers(self) -> None:
+        """Waits until all answers are written or the kill is near."""
+        ends_s = self._before_kill_s(_EXIT_MARGIN_S)
+        while self._parts.writing():
+            left_s = ends_s - self._parts.clock.now_s()
+            if left_s <= 0:
+                break
+            await asyncio.sleep(min(_POLL_INTERVAL_S, left_s))
 
     def _is_over(self) -> bool:
         now_s = self._parts.clock.now_s()
         if now_s >= self._before_kill_s(_ANSWER_MARGIN_S):
             return True
-        ended = self._parts.busy() == 0
+        ended = self._parts.busy() == 0 and self._parts.writing() == 0
         return ended and now_s - self._started_s >= _MIN_DURATION_S
 
     def _accepts(self, usual_s: float) -> bool:
--- a/src/savorybend/relay/streams.py
+++ b/src/savorybend/relay/streams.py
@@ -55,6 +55,16 @@
         """Whether the connection isn't open, or is closing."""
         return self._transport is None or self._transport.is_closing()
 
+    @property
+    def writing(self) -> bool:
+        """Whether messages wait to be written."""
+        if self._out:
+            return True
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and enables TCP keep-alive."""
         self._transport = transport
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -41,6 +41,7 @@
         draining: Whether it says that it is leaving.
         instance: Its ID.
         hold_s: How long it works on each request.
+        answer_bytes: How much each answer has besides its text.
         obeys_deadlines: Whether it ends its work with 504 at the deadline that
             a request names.
         hold: Set to let requests that wait for it go on.
@@ -67,6 +68,7 @@
         self.draining = False
         self.hold_s = 0.0
         self.obeys_deadlines = False
+        self.answer_bytes = 0
         self.hold = asyncio.Event()
         self.hold.set()
         self.status = 200
@@ -253,5 +255,5 @@
         return web.Response(
             status=self.status,
             headers=headers,
-            body=text.encode() + body,
+            body=text.encode() + body + bytes(self.answer_bytes),
         )
--- a/tests/platform/test_stops_under_load.py
+++ b/tests/platform/test_stops_under_load.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import socket
 
 import pytest
 
@@ -15,6 +16,12 @@
 _GRACE_S = 4.0
 _INTERVAL_S = 0.05
 _LATE_CALL_S = 0.3
+# More than the kernel buffers for a connection.
+_LARGE_ANSWER_BYTES = 12 << 20
+_RECEIVE_BUFFER_BYTES = 1 << 16
+# Later than the least duration of a stop.
+_READS_AFTER_S = 3.1
+_PIECE_BYTES = 1 << 18
 
 
 @pytest.fixture
@@ -185,3 +192,49 @@
     for number, status in enumerate(await asyncio.gather(*under_way)):
         assert status in (502, 503, 504)
         assert status != 503 or not _ran(fleet, f"p-{number}")
+
+
+async def _read_late(machine):
+    """Reads an answer after a while; returns how much of it came."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as sock:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (machine.host, machine.base))
+        await loop.sock_sendall(sock, _request("/reads/x", "late"))
+        await asyncio.sleep(_READS_AFTER_S)
+        received = 0
+        while data := await loop.sock_recv(sock, _PIECE_BYTES):
+            received += len(data)
+        return received
+
+
+async def test_a_stop_waits_for_callers_that_read_their_answers(fleet):
+    # The process ended with the rest of the answer in its own write buffer.
+    for one in fleet.machines:
+        one.worker.answer_bytes = _LARGE_ANSWER_BYTES
+    machine = fleet.machines[2]
+    reading = [asyncio.create_task(_read_late(machine)) for _ in range(2)]
+    await asyncio.sleep(0.3)
+    machine.signal(signal.SIGTERM)
+    async with asyncio.timeout(_GRACE_S):
+        await machine.ended()
+    for received in await asyncio.gather(*reading):
+        assert received >= _LARGE_ANSWER_BYTES
+
+
+async def test_a_caller_that_reads_nothing_does_not_hold_a_stop(fleet):
+    for one in fleet.machines:
+        one.worker.answer_bytes = _LARGE_ANSWER_BYTES
+    machine = fleet.machines[2]
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (machine.host, machine.base))
+        await loop.sock_sendall(sock, _request("/reads/x", "unread"))
+        await asyncio.sleep(0.3)
+        machine.signal(signal.SIGTERM)
+        async with asyncio.timeout(_GRACE_S):
+            assert await machine.ended() == 0
--- a/tests/relay/test_shutdown.py
+++ b/tests/relay/test_shutdown.py
@@ -30,11 +30,18 @@
         self.closed = True
 
 
-def _shutdown(grace_s, clock, busy=lambda: 0, withdraw=lambda: None):
+def _shutdown(
+    grace_s,
+    clock,
+    busy=lambda: 0,
+    withdraw=lambda: None,
+    writing=lambda: 0,
+):
     return shutdown.create_shutdown(
         shutdown.Parts(
             callers=_Callers(),
             busy=busy,
+            writing=writing,
             withdraw=withdraw,
             clock=clock,
             grace_s=grace_s,
@@ -71,6 +78,7 @@
         grace_s,
         timers.SystemClock(),
         busy=lambda: 1,
+        writing=lambda: 1,
         withdraw=lambda: withdrawn.append(True),
     )
     stopping.begin()
