Check a queued call's service again when it is sent

Cause: the service was compared as a call entered the queue, and not as it was sent, when another backend server may have announced itself. That leaves the state at `ready`, so the queue was kept, and each request names the instance that is announced by then.

Change: the comparison is made when a call is sent too, and a change of the backend server refuses queued calls of other services at once, so that they go to other daemons.

Why it works: no call is sent without a comparison with the backend server that it names, made in the same event.

--- a/src/savorybend/relay/serving.py
+++ b/src/savorybend/relay/serving.py
@@ -143,7 +143,7 @@
             call,
             lambda waiting: self._enter(run),
             lambda waiting, refusal: self._finish(run, refusal),
-            lambda: self._check_held(run),
+            lambda: self._check_start(run),
         )
         self._parts.call_queue.enter(run.waiting)
         return run
@@ -165,11 +165,20 @@
         server = self._parts.server
         self._crashes.on_server_change(server)
         if server.takes_calls:
+            self._refuse_other_services()
             self._parts.call_queue.set_limit(_limit(server.current.slots))
             return
         self._parts.call_queue.set_limit(0)
         self._parts.call_queue.refuse_all(_REASONS[server.state])
 
+    def _refuse_other_services(self) -> None:
+        """Refuses queued calls of services that the backend server isn't of."""
+        service = self._parts.server.current.service
+        for run in list(self._runs.values()):
+            if run.waiting.started_s is None and run.call.service != service:
+                self._parts.call_queue.withdraw(run.waiting)
+                self._finish(run, outcomes.NotRun(outcomes.NO_BACKEND_SERVER))
+
     def sweep(self) -> None:
         """Refuses calls that waited too long and aborts overdue ones."""
         self._parts.call_queue.sweep()
@@ -188,11 +197,16 @@
             return outcomes.NotRun(_REASONS[server.state])
         if not self._parts.takes_calls():
             return outcomes.NotRun(outcomes.DRAINING)
-        if server.current.service != run.call.service:
-            return outcomes.NotRun(outcomes.NO_BACKEND_SERVER)
-        return self._check_held(run)
+        return self._check_start(run)
 
-    def _check_held(self, run: Run) -> outcomes.NotRun | None:
+    def _check_start(self, run: Run) -> outcomes.NotRun | None:
+        """Returns a refusal if a call must not be sent now.
+
+        While it was queued, the backend server may have been replaced by one of
+        another service at the same address.
+        """
+        if self._parts.server.current.service != run.call.service:
+            return outcomes.NotRun(outcomes.NO_BACKEND_SERVER)
         if not self._parts.suspects.held(run.request):
             return None
         return outcomes.NotRun(
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -55,13 +55,13 @@
         self.pool, self.suspects = _Pool(), _Suspects()
         self.watchdog = _Watchdog()
         self.outcomes = {}
-        server = backend.BackendServer(
+        self.server = backend.BackendServer(
             samples.BACKEND_ADDRESS, 1.0, clock, lambda: None
         )
         estimator = capacity.create_capacity_estimator(clock)
         self._serving = serving.create_serving(
             serving.Parts(
-                server=server,
+                server=self.server,
                 pool=self.pool,
                 call_queue=samples.call_queue(clock, estimator),
                 suspects=self.suspects,
@@ -70,7 +70,10 @@
                 takes_calls=lambda: True,
             )
         )
-        server.announce(samples.announcement(slots=slots))
+        self.announce(slots=slots)
+
+    def announce(self, **fields):
+        self.server.announce(samples.announcement(**fields))
         self._serving.on_server_change()
 
     def submit(self, name):
@@ -91,6 +94,37 @@
     assert daemon.outcomes["waits"].reason == outcomes.QUARANTINED
 
 
+def test_queued_calls_are_not_sent_to_a_server_of_another_service():
+    # It had got the address of one that fell silent, and ran them.
+    daemon = _Daemon(slots=1)
+    daemon.submit("first")
+    daemon.submit("waits")
+    daemon.announce(slots=8, service="other", instance="i-2", born_ms=2000)
+    assert len(daemon.pool.dispatched) == 1
+    assert daemon.outcomes["waits"].reason == outcomes.NO_BACKEND_SERVER
+
+
+def test_queued_calls_are_not_sent_after_an_unnoticed_change_of_service():
+    daemon = _Daemon(slots=1)
+    daemon.submit("first")
+    daemon.submit("waits")
+    daemon.server.announce(
+        samples.announcement(slots=1, service="other", sequence=9)
+    )
+    [(_, answer)] = daemon.pool.dispatched
+    answer(outcomes.Ran(200, b"", b""))
+    assert len(daemon.pool.dispatched) == 1
+    assert daemon.outcomes["waits"].reason == outcomes.NO_BACKEND_SERVER
+
+
+def test_queued_calls_are_sent_to_the_next_server_of_their_service():
+    daemon = _Daemon(slots=1)
+    daemon.submit("first")
+    daemon.submit("waits")
+    daemon.announce(slots=8, instance="i-2", born_ms=2000)
+    assert len(daemon.pool.dispatched) == 2
+
+
 def test_calls_that_one_crash_broke_are_checked_together():
     daemon = _Daemon(slots=8)
     for name in "abc":
