--- a/src/savorybend/platform/objects.py
+++ b/src/savorybend/platform/objects.py
@@ -11,8 +11,8 @@
 
 from savorybend.internal import errors
 from savorybend.internal import sentinels
-from savorybend.platform import jsonparts
 from savorybend.platform import names
+from savorybend.platform import objecttexts
 from savorybend.relay import http1
 from savorybend.relay import responselimits
 from savorybend.relay import responseparser
@@ -28,13 +28,7 @@
 _NO_ERA = 0
 # Bodies of all responses that are being received, in bytes.
 _MAX_BODY_MEMORY = 32 << 20
-# Daemons send revisions and eras to each other as integers of 64 bits.
-_MAX_REVISION = (1 << 63) - 1
 _ERA = re.compile(rb"[0-9]{1,18}")
-_NO_SPEC = msgspec.Raw(b"null")
-# A decoder raises RecursionError at JSON that is nested too deep for the stack
-# that is left.
-_DECODING_ERRORS = (ValueError, KeyError, RecursionError)
 
 _GET = b"GET"
 _POST = b"POST"
@@ -49,36 +43,6 @@
 _log = structlog.get_logger()
 
 
-_Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
-_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)]
-
-
-class _Metadata(msgspec.Struct):
-    name: _Name
-    revision: _Revision
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = _NO_SPEC
-
-
-class _Page(msgspec.Struct):
-    items: list[msgspec.Raw]
-    revision: _Revision = msgspec.field(name="storeRevision")
-    more: bool = msgspec.field(name="hasMore", default=False)
-
-
-class _Event(msgspec.Struct):
-    object: msgspec.Raw
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    revision: _Revision = msgspec.field(name="storeRevision")
-
-
 class _Answer(typing.NamedTuple):
     status: int
     body: bytes
@@ -118,7 +82,7 @@
         if answer.status == 404:
             return store.NO_OBJECT
         _check_status(answer, 200)
-        return _object(answer.body)
+        return objecttexts.decode_object(answer.body)
 
     async def list(
         self, kind: store.Kind, stale: bool = False
@@ -142,14 +106,14 @@
                     "list is read again"
                 )
             era = answer.era
-            page = _decode(answer.body, _Page, _odd_page)
+            page = objecttexts.decode_page(answer.body)
             # Changes made while pages are read are returned by the watch,
             # which starts at the revision of the first page.
             revision = page.revision if revision is None else revision
-            found.extend(_objects(page.items, kind))
+            found.extend(objecttexts.decode_objects(page.items, kind))
             if not page.more or not page.items:
                 break
-            after = _last_name(page.items, after)
+            after = objecttexts.last_name(page.items, after)
         return store.Listing(revision or 0, tuple(found), era=era or _NO_ERA)
 
     async def watch(
@@ -172,11 +136,11 @@
                 f"{kind.name}: revision {after} is of era {era}, the store's "
                 f"is {answer.era}: list again"
             )
-        events = _decode(answer.body, _Events, _odd_events)
+        events = objecttexts.decode_events(answer.body)
         changed: dict[str, store.StoredObject] = {}
         deleted: dict[str, None] = {}
         for event in events.events:
-            for found in _objects([event.object], kind):
+            for found in objecttexts.decode_objects([event.object], kind):
                 if event.deleted:
                     changed.pop(found.name, None)
                     deleted[found.name] = None
@@ -232,7 +196,7 @@
         if answer.status in (404, 409):
             raise _conflict(kind, name)
         _check_status(answer, 200, 201)
-        return _object(answer.body)
+        return objecttexts.decode_object(answer.body)
 
     async def _request(
         self,
@@ -358,96 +322,6 @@
         )
 
 
-def _decode(
-    body: bytes,
-    kind: type,
-    decode_odd: collections.abc.Callable[[bytes], typing.Any],
-) -> typing.Any:
-    """Decodes a text whole, or in parts if it can't be decoded whole."""
-    try:
-        try:
-            return msgspec.json.decode(body, type=kind)
-        except _DECODING_ERRORS:
-            return decode_odd(body)
-    except _DECODING_ERRORS as error:
-        raise errors.PlatformUnavailableError(
-            f"store's answer can't be decoded ({error}): the request is retried"
-        ) from error
-
-
-def _odd_page(body: bytes) -> _Page:
-    found = jsonparts.members(body)
-    return _Page(
-        [msgspec.Raw(one) for one in jsonparts.elements(found["items"])],
-        _field(found, "storeRevision", _Revision),
-        _field(found, "hasMore", bool, b"false"),
-    )
-
-
-def _odd_events(body: bytes) -> _Events:
-    found = jsonparts.members(body)
-    events = []
-    for text in jsonparts.elements(found["events"]):
-        event = jsonparts.members(text)
-        deleted = _field(event, "deleted", bool, b"false")
-        events.append(_Event(msgspec.Raw(event.get("object", b"")), deleted))
-    return _Events(events, _field(found, "storeRevision", _Revision))
-
-
-def _field(
-    found: dict[str, bytes], name: str, kind: typing.Any, default: bytes = b""
-) -> typing.Any:
-    return msgspec.json.decode(found.get(name, default), type=kind)
-
-
-def _object(body: bytes) -> store.StoredObject:
-    """Decodes an object; its value is as another writer may have left it."""
-    found = _decode(body, _Object, _odd_object)
-    return store.StoredObject(
-        found.metadata.name, found.metadata.revision, bytes(found.spec)
-    )
-
-
-def _odd_object(body: bytes) -> _Object:
-    """Returns an object of which something else can't be decoded."""
-    parts = jsonparts.members(body)
-    metadata = jsonparts.members(parts.get("metadata", b""))
-    return _Object(
-        _Metadata(
-            _field(metadata, "name", _Name),
-            _field(metadata, "revision", _Revision),
-        ),
-        msgspec.Raw(parts.get("spec", bytes(_NO_SPEC))),
-    )
-
-
-def _objects(
-    items: list[msgspec.Raw], kind: store.Kind
-) -> collections.abc.Iterator[store.StoredObject]:
-    for item in items:
-        try:
-            yield _object(bytes(item))
-        except errors.PlatformUnavailableError as error:
-            # Written by another writer; the other objects are valid.
-            _log.warning("object_passed_over", kind=kind.name, error=str(error))
-
-
-def _last_name(items: list[msgspec.Raw], after: str) -> str:
-    """Returns the last name on a page that begins after another name."""
-    for item in reversed(items):
-        try:
-            metadata = jsonparts.members(bytes(item)).get("metadata", b"")
-            name = _field(jsonparts.members(metadata), "name", _Name)
-        except _DECODING_ERRORS:
-            continue
-        if name != after:
-            return name
-    raise errors.PlatformUnavailableError(
-        f"no object on the page after {after!r} has a name: the list is read "
-        "again"
-    )
-
-
 def create_client(address: settings.Address, counts: traffic.Traffic) -> Client:
     """Returns a client for the store at an address.
 
