--- a/src/savorybend/relay/storewatch.py
+++ b/src/savorybend/relay/storewatch.py
@@ -9,8 +9,8 @@
 
 from savorybend.internal import budget
 from savorybend.internal import errors
+from savorybend.relay import following
 from savorybend.relay import frames
-from savorybend.relay import presence
 from savorybend.relay import recordfeed
 from savorybend.relay import replica
 from savorybend.relay import store
@@ -23,7 +23,7 @@
 # Daemons that start together read the store one after the other within this
 # time, and the first ones tell the others what they found.
 _START_SPREAD_S = 1.0
-# Longest delay between two watches; see `presence.batching_delay_s`.
+# Longest delay between two watches; see `following.batching_delay_s`.
 _MAX_BATCHING_DELAY_S = 0.5
 
 _log = structlog.get_logger()
@@ -66,7 +66,7 @@
 class _Running(typing.NamedTuple):
     """A watch of one kind of objects, and its task."""
 
-    follower: presence.Follower
+    follower: following.Follower
     task: asyncio.Task
 
 
@@ -171,15 +171,15 @@
 
     def _start(self, kind: store.Kind) -> None:
         parts = self._parts
-        follower = presence.Follower(
+        follower = following.Follower(
             kind,
             parts.client,
             parts.rng,
             self._batching_delay_s
             if kind is store.DAEMONS
-            else presence.no_batching_delay_s,
+            else following.no_batching_delay_s,
             self._max_backoff_s,
-            presence.longest_wait_s
+            following.longest_wait_s
             if kind is store.DAEMONS
             else self._configuration_wait_s,
         )
@@ -188,7 +188,7 @@
             work = follower.run(
                 parts.feed.on_listing,
                 parts.feed.on_changes,
-                presence.Start(position.revision, position.era)
+                following.Start(position.revision, position.era)
                 if position
                 else None,
             )
@@ -217,7 +217,7 @@
     async def _follow(
         self,
         kind: store.Kind,
-        follower: presence.Follower,
+        follower: following.Follower,
         work: collections.abc.Coroutine,
     ) -> None:
         """Runs a watch; after an unexpected error, pauses before it ends."""
@@ -272,12 +272,12 @@
     def _configuration_wait_s(self) -> float:
         if self._primary:
             return watchers.PRIMARY_WAIT_S
-        return presence.LONGEST_WAIT_S
+        return following.LONGEST_WAIT_S
 
     def _batching_delay_s(self) -> float:
         return min(
             _MAX_BATCHING_DELAY_S,
-            presence.batching_delay_s(len(self._parts.others()) + 1),
+            following.batching_delay_s(len(self._parts.others()) + 1),
         )
 
 
