Let only the primary watcher watch the records

Change: the second watcher goes on watching the configuration, which must be in force within two seconds, and takes the records from the primary one as all others do; it watches them as soon as it is the primary one. The primary watcher waits 2 s.

--- a/src/savorybend/relay/storewatch.py
+++ b/src/savorybend/relay/storewatch.py
@@ -1,4 +1,8 @@
-"""Watches the store while this daemon is one of its data centre's watchers."""
+"""Watches the store while this daemon is one of its data centre's watchers.
+
+All watchers watch the configuration, so that a change is in force in time
+though one of them is lost. Only the primary watcher watches the records.
+"""
 
 import asyncio
 import collections.abc
@@ -137,8 +141,8 @@
         selection = self._parts.watchers.select(self._parts.feed.state)
         self._parts.follow(selection.followed)
         if selection.watches and not self._parts.stopping():
-            self._watch()
             self._set_primary(selection.primary)
+            self._watch()
         else:
             self._stop()
             self._primary = False
@@ -149,25 +153,30 @@
         became_primary = primary and not self._primary
         self._primary = primary
         configuration = self._running.get(store.CONFIGURATION)
-        if became_primary and configuration.follower.established:
+        if configuration is None or not configuration.follower.established:
+            return
+        if became_primary:
             configuration.follower.check()
 
     def _watch(self) -> None:
-        """Starts what should run: the records only once the store answers."""
+        """Starts and stops what should; records wait for the store's answer."""
         self._drop_ended()
         configuration = self._running.get(store.CONFIGURATION)
         if configuration is None:
             _log.info("store_watch_started")
             self._start(store.CONFIGURATION)
             return
-        records = self._running.get(store.DAEMONS)
-        if records is None:
-            if configuration.follower.established:
-                self._start(store.DAEMONS)
-        elif configuration.follower.failing:
-            # What makes one of the watches fail is likely to affect both, and
-            # the other one may wait for an answer that was lost.
+        # What makes one of the watches fail is likely to affect both, and the
+        # other one may wait for an answer that was lost.
+        wanted = self._primary and not configuration.follower.failing
+        if not wanted:
             self._cancel(store.DAEMONS)
+        elif configuration.follower.established:
+            self._start_once(store.DAEMONS)
+
+    def _start_once(self, kind: store.Kind) -> None:
+        if kind not in self._running:
+            self._start(kind)
 
     def _start(self, kind: store.Kind) -> None:
         parts = self._parts
@@ -207,7 +216,7 @@
         before = self._store_position
         self._store_position = frames.Position(listing.era, listing.revision)
         records = self._running.get(store.DAEMONS)
-        if records is None or listing.objects or not self._primary:
+        if records is None or listing.objects:
             return
         if self._parts.feed.misses(before):
             # Something was written before the last wait began. If it was a
@@ -232,7 +241,9 @@
             )
 
     def _cancel(self, kind: store.Kind) -> None:
-        self._running.pop(kind).task.cancel()
+        running = self._running.pop(kind, None)
+        if running is not None:
+            running.task.cancel()
 
     def _stop(self) -> None:
         if self._running:
@@ -260,9 +271,10 @@
         configuration = self._running.get(store.CONFIGURATION)
         if configuration is None or not configuration.follower.established:
             return watchers.State.IDLE
-        if store.DAEMONS in self._running and self._parts.replica.position:
-            return watchers.State.WATCHING
-        return watchers.State.IDLE
+        has_records = self._parts.replica.position is not None
+        if self._primary and store.DAEMONS not in self._running:
+            has_records = False
+        return watchers.State.WATCHING if has_records else watchers.State.IDLE
 
     def _max_backoff_s(self) -> float:
         if self._parts.watchers.served:
--- a/src/savorybend/relay/watchers.py
+++ b/src/savorybend/relay/watchers.py
@@ -34,7 +34,7 @@
 # Longest wait of the primary watcher for an answer of the store. Each data
 # centre makes this many calls, so a shorter one costs; with the takeover, a
 # longer one would delay changes beyond what operators expect.
-PRIMARY_WAIT_S = 1.5
+PRIMARY_WAIT_S = 2.0
 # Watchers don't count as such while all reads that they tell of are older than
 # this: the wait, a slow answer, and the time between two words.
 _MAX_READ_AGE_S = PRIMARY_WAIT_S + 1.0 + _SILENCE_S
