--- a/src/savorybend/relay/following.py
+++ b/src/savorybend/relay/following.py
@@ -145,6 +145,11 @@
             self._waiting.reschedule(asyncio.get_running_loop().time())
             self._waiting = None
 
+    def note_error(self) -> None:
+        """Notes that an unexpected error has ended `run`."""
+        self._reachable = False
+        self._established = False
+
     async def _watch(self, revision: int, era: int) -> store.Listing | None:
         """Returns the changes after a revision; None if `check` ended it."""
         wait_s = _CHECK_WAIT_S if self._check_due else self._wait_s()
@@ -159,11 +164,6 @@
         finally:
             self._waiting = None
 
-    def note_error(self) -> None:
-        """Notes that an unexpected error has ended `run`."""
-        self._reachable = False
-        self._established = False
-
     def _note_success(self) -> None:
         if not self._reachable:
             _log.info("watch_regained", kind=self._kind.name)
--- a/src/savorybend/relay/storewatch.py
+++ b/src/savorybend/relay/storewatch.py
@@ -153,9 +153,11 @@
         became_primary = primary and not self._primary
         self._primary = primary
         configuration = self._running.get(store.CONFIGURATION)
-        if configuration is None or not configuration.follower.established:
-            return
-        if became_primary:
+        if (
+            became_primary
+            and configuration is not None
+            and configuration.follower.established
+        ):
             configuration.follower.check()
 
     def _watch(self) -> None:
@@ -164,47 +166,52 @@
         configuration = self._running.get(store.CONFIGURATION)
         if configuration is None:
             _log.info("store_watch_started")
-            self._start(store.CONFIGURATION)
+            self._start_configuration()
             return
         # What makes one of the watches fail is likely to affect both, and the
         # other one may wait for an answer that was lost.
-        wanted = self._primary and not configuration.follower.failing
-        if not wanted:
+        if not self._primary or configuration.follower.failing:
             self._cancel(store.DAEMONS)
-        elif configuration.follower.established:
-            self._start_once(store.DAEMONS)
+        elif (
+            store.DAEMONS not in self._running
+            and configuration.follower.established
+        ):
+            self._start_records()
 
-    def _start_once(self, kind: store.Kind) -> None:
-        if kind not in self._running:
-            self._start(kind)
+    def _start_configuration(self) -> None:
+        follower = following.Follower(
+            store.CONFIGURATION,
+            self._parts.client,
+            self._parts.rng,
+            following.no_batching_delay_s,
+            self._max_backoff_s,
+            self._configuration_wait_s,
+        )
+        work = follower.run(self._on_configurations, self._on_configurations)
+        self._start(store.CONFIGURATION, follower, work)
 
-    def _start(self, kind: store.Kind) -> None:
-        parts = self._parts
+    def _start_records(self) -> None:
         follower = following.Follower(
-            kind,
-            parts.client,
-            parts.rng,
-            self._batching_delay_s
-            if kind is store.DAEMONS
-            else following.no_batching_delay_s,
+            store.DAEMONS,
+            self._parts.client,
+            self._parts.rng,
+            self._batching_delay_s,
             self._max_backoff_s,
-            following.longest_wait_s
-            if kind is store.DAEMONS
-            else self._configuration_wait_s,
         )
-        if kind is store.DAEMONS:
-            position = parts.replica.position
-            work = follower.run(
-                parts.feed.on_listing,
-                parts.feed.on_changes,
-                following.Start(position.revision, position.era)
-                if position
-                else None,
-            )
-        else:
-            work = follower.run(
-                self._on_configurations, self._on_configurations
-            )
+        position = self._parts.replica.position
+        start = None
+        if position is not None:
+            start = following.Start(position.revision, position.era)
+        feed = self._parts.feed
+        work = follower.run(feed.on_listing, feed.on_changes, start)
+        self._start(store.DAEMONS, follower, work)
+
+    def _start(
+        self,
+        kind: store.Kind,
+        follower: following.Follower,
+        work: collections.abc.Coroutine,
+    ) -> None:
         task = asyncio.get_running_loop().create_task(
             self._follow(kind, follower, work)
         )
--- a/tests/relay/test_storewatch.py
+++ b/tests/relay/test_storewatch.py
@@ -17,7 +17,7 @@
 _MAX_LISTS = 8
 # Of the users' two seconds for a configuration, and their three in which a
 # machine that was disturbed may settle.
-_DEAF_BOUND_S = 5.0
+_NOTICED_WITHIN_S = 5.0
 
 
 class _Consumer:
@@ -128,7 +128,7 @@
     """A store that can lose the answers to the watches that wait.
 
     Attributes:
-        deaf: Kinds whose waiting watches never return.
+        unanswered: Kinds whose waiting watches never return.
         silent: Whether it answers no call any more.
         watches: Calls of watches so far, by kind.
     """
@@ -137,7 +137,7 @@
         super().__init__()
         self.revision = 1
         self.changed = {store.CONFIGURATION: 0, store.DAEMONS: 0}
-        self.deaf = set()
+        self.unanswered = set()
         self.silent = False
         self.watches = {store.CONFIGURATION: 0, store.DAEMONS: 0}
 
@@ -161,7 +161,7 @@
                 break
             await asyncio.sleep(0.01)
             waited = True
-        if self.silent or (waited and kind in self.deaf):
+        if self.silent or (waited and kind in self.unanswered):
             await asyncio.sleep(3600)
         found = ()
         if self.changed[kind] > after:
@@ -184,7 +184,7 @@
         task.cancel()
 
 
-async def _until(condition, timeout_s=_DEAF_BOUND_S):
+async def _until(condition, timeout_s=_NOTICED_WITHIN_S):
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
@@ -200,7 +200,7 @@
 async def test_a_configuration_whose_event_was_lost_is_read_all_the_same():
     client = _LossyStore()
     async with _watching(client) as fixture:
-        client.deaf = {store.CONFIGURATION, store.DAEMONS}
+        client.unanswered = {store.CONFIGURATION, store.DAEMONS}
         client.write(store.CONFIGURATION)
         await _until(lambda: fixture.versions == [b"2"])
 
@@ -208,7 +208,7 @@
 async def test_records_whose_event_was_lost_are_read_all_the_same():
     client = _LossyStore()
     async with _watching(client) as fixture:
-        client.deaf = {store.DAEMONS}
+        client.unanswered = {store.DAEMONS}
         client.write(store.DAEMONS)
         await _until(lambda: "main" in fixture.replica.names)
 
@@ -218,7 +218,7 @@
     async with _watching(client) as fixture:
         fixture.watchers.selection = watchers.Selection(True, ())
         await asyncio.sleep(watchers.PRIMARY_WAIT_S + 1.0)
-        client.deaf = {store.CONFIGURATION}
+        client.unanswered = {store.CONFIGURATION}
         client.write(store.CONFIGURATION)
         await asyncio.sleep(0.1)
         assert not fixture.versions
--- a/tests/relay/test_watchers.py
+++ b/tests/relay/test_watchers.py
@@ -49,7 +49,7 @@
     def _read(self):
         """Reads as the store watch does, unless its answers are lost."""
         now_s = self.site.clock.now_s()
-        if self.name in self.site.deaf:
+        if self.name in self.site.unanswered:
             return
         if self.selection.primary or not self.read_s:
             self.read_s = now_s
@@ -74,7 +74,7 @@
         self.rng = random.Random(1)
         self.lost = set()
         self.refused = set()
-        self.deaf = set()
+        self.unanswered = set()
         self.down = False
         self.daemons = {}
         for number in range(count):
@@ -192,7 +192,7 @@
 def test_watchers_that_tell_only_of_old_reads_are_replaced_by_few(count):
     site = _Site(count)
     site.advance(5.0)
-    site.deaf = set(site.watching())
+    site.unanswered = set(site.watching())
     site.advance(_MAX_READ_AGE_S)
     fresh = [
         one
