Keep the records of a data centre that may be cut off

Cause: the lender of the larger side deleted the records of daemons that it hadn't heard for 12 s. Its share of the rate, which goes by the known daemons, became the whole rate, while the side that was cut off went on lending its own.

Evidence: two of the three new unit tests failed on the code before.

Change: no record is deleted while no daemon of its data centre reports, unless it has begun to leave. The delay begins as the data centre is reached again.

Why it works: a side that can't be heard can't be told from one that is lost, so its part counts as out until it is heard; the records are in the store, so that each lender reckons alike.

--- a/src/savorybend/relay/reaper.py
+++ b/src/savorybend/relay/reaper.py
@@ -5,6 +5,10 @@
 client account's rate goes unused. The lender receives reports from all
 reachable daemons, so it detects which are missing and deletes their records. A
 daemon that was only partitioned rewrites its record when it sees it deleted.
+
+A data centre of which no daemon reports may be cut off, and go on lending its
+share. Its daemons keep their records: without them, the others' share would
+grow by a share that is still in use.
 """
 
 import collections.abc
@@ -33,6 +37,8 @@
         reporting: Returns the names of the daemons that reported recently, or
             None while this daemon isn't the lender.
         unreachable: Returns whether a daemon can't be reached.
+        data_centre: Returns a daemon's data centre; None if it isn't known, or
+            if the daemon or its backend server has begun to leave.
         client: The store.
         start: Starts a coroutine on the event loop.
     """
@@ -41,6 +47,7 @@
     names: collections.abc.Callable[[], collections.abc.Iterable[str]]
     reporting: collections.abc.Callable[[], set[str] | None]
     unreachable: collections.abc.Callable[[str], bool]
+    data_centre: collections.abc.Callable[[str], str | None]
     client: store.Store
     start: collections.abc.Callable[[collections.abc.Coroutine], None]
 
@@ -63,6 +70,7 @@
             return
         now_s = self._parts.clock.now_s()
         missing = set(self._parts.names()) - reporting
+        missing -= self._cut_off(missing, reporting)
         for name in list(self._missing_since_s):
             if name not in missing:
                 del self._missing_since_s[name]
@@ -74,6 +82,15 @@
                 self._missing_since_s[name] = now_s
                 self._parts.start(self._remove(name))
 
+    def _cut_off(self, missing: set[str], reporting: set[str]) -> set[str]:
+        """Returns the missing daemons whose data centre may be cut off."""
+        reached = {self._parts.data_centre(name) for name in reporting}
+        cut_off = {self._parts.data_centre(name) for name in missing} - reached
+        cut_off.discard(None)
+        return {
+            name for name in missing if self._parts.data_centre(name) in cut_off
+        }
+
     async def _remove(self, name: str) -> None:
         try:
             stored_object = await self._parts.client.get(store.DAEMONS, name)
--- a/src/savorybend/relay/storeaccess.py
+++ b/src/savorybend/relay/storeaccess.py
@@ -146,6 +146,7 @@
                 names=self._recorded_names,
                 reporting=parts.fleet.reporting,
                 unreachable=parts.fleet.probe_unreachable,
+                data_centre=self._data_centre,
                 client=parts.client,
                 start=parts.start,
             )
@@ -179,6 +180,18 @@
             if statement.data_centre == own
         ]
 
+    def _data_centre(self, name: str) -> str | None:
+        """Returns a daemon's data centre unless it has begun to leave."""
+        if name == self._parts.settings.name:
+            return self._parts.settings.data_centre
+        statement = self._parts.directory.get(name)
+        if statement is None or statement.state in (
+            directory.DRAINING,
+            directory.ABSENT,
+        ):
+            return None
+        return statement.data_centre
+
     def _recorded_names(self) -> set[str]:
         """Returns the names of the other daemons that have records.
 
--- a/tests/platform/test_store_watch.py
+++ b/tests/platform/test_store_watch.py
@@ -166,7 +166,7 @@
     await fleet.until(served)
 
 
-async def _silence(fleet, machines):
+def _silence(fleet, machines):
     """Makes the store silent to machines, as their watches wait."""
     for machine in machines:
         fleet.store.troubles[machine.store_host] = standin_store.Trouble.SILENT
@@ -178,11 +178,13 @@
     return all(status == 401 for status, _, _ in answers)
 
 
-async def test_a_key_withdrawn_as_the_store_is_silent_to_both_watchers(fleet):
+async def test_a_key_withdrawn_while_both_watchers_wait_in_vain_is_refused(
+    fleet,
+):
     # It worked on everywhere until the watches ended, 29 s after they began.
     silenced = await _watching(fleet)
     others = [one for one in fleet.machines if one not in silenced]
-    await _silence(fleet, silenced)
+    _silence(fleet, silenced)
     await fleet.submit(version=7, keys=["another"])
     async with asyncio.timeout(_BOUND_S):
         await fleet.until(lambda: _withdrawn(fleet, others))
@@ -191,12 +193,12 @@
         await fleet.until(lambda: _withdrawn(fleet, fleet.machines))
 
 
-async def test_a_server_that_left_as_the_store_is_silent_to_both_watchers(
+async def test_a_record_removed_while_both_watchers_wait_in_vain_is_known(
     fleet,
 ):
     silenced = await _watching(fleet)
     others = [one for one in fleet.machines if one not in silenced]
-    await _silence(fleet, silenced)
+    _silence(fleet, silenced)
     gone = others[0].name
     found = fleet.store.get("savorybend-daemons", gone)
     others[0].signal(signal.SIGKILL)
--- a/tests/relay/test_reaper.py
+++ b/tests/relay/test_reaper.py
@@ -24,12 +24,14 @@
         self.store = _Store()
         self.reporting = {"here"}
         self.unreachable = {"gone"}
+        self.data_centres = {}
         self.reaper = reaper.create_reaper(
             reaper.Parts(
                 clock=self.clock,
                 names=lambda: ["here", "gone"],
                 reporting=lambda: self.reporting,
                 unreachable=lambda name: name in self.unreachable,
+                data_centre=lambda name: self.data_centres.get(name),
                 client=self.store,
                 start=asyncio.run,
             )
@@ -71,3 +73,29 @@
     fixture.reporting = None
     fixture.wait(60)
     assert fixture.store.deleted == []
+
+
+def test_a_data_centre_that_is_cut_off_keeps_its_records():
+    # The others lent its share too, while it went on lending it.
+    fixture = _Fixture()
+    fixture.data_centres = {"here": "east", "gone": "west"}
+    fixture.wait(600)
+    assert fixture.store.deleted == []
+
+
+def test_a_daemon_that_others_of_its_data_centre_outlive_is_removed():
+    fixture = _Fixture()
+    fixture.data_centres = {"here": "east", "gone": "east"}
+    fixture.wait(15)
+    assert fixture.store.deleted == [("gone", 7)]
+
+
+def test_the_removal_delay_begins_as_a_data_centre_is_reached_again():
+    fixture = _Fixture()
+    fixture.data_centres = {"here": "east", "other": "west", "gone": "west"}
+    fixture.wait(60)
+    fixture.reporting = {"here", "other"}
+    fixture.wait(10)
+    assert fixture.store.deleted == []
+    fixture.wait(5)
+    assert fixture.store.deleted == [("gone", 7)]
