--- a/src/savorybend/relay/watchers.py
+++ b/src/savorybend/relay/watchers.py
@@ -31,9 +31,8 @@
 _TAKEOVER_S = 1.0
 # Without a word from any watcher for this long, a daemon watches by itself.
 _SILENCE_S = 1.2
-# Longest wait of the primary watcher for an answer of the store. Each data
-# centre makes this many calls, so a shorter one costs; with the takeover, a
-# longer one would delay changes beyond what operators expect.
+# Longest wait of the primary watcher for an answer of the store. The store is
+# called this often by each data centre; a lost answer is found this late.
 PRIMARY_WAIT_S = 2.0
 # Watchers don't count as such while all reads that they tell of are older than
 # this: the wait, a slow answer, and the time between two words.
