--- a/src/savorybend/platform/headers.py
+++ b/src/savorybend/platform/headers.py
@@ -113,12 +113,14 @@
 class Backend:
     """Encodes requests to a backend server and decodes its responses."""
 
-    def encode(self, call: calls.Call, instance: str, left_s: float) -> bytes:
-        """Returns the bytes of a request."""
+    def encode_head(
+        self, call: calls.Call, instance: str, left_s: float
+    ) -> bytes:
+        """Returns the head of a request, with the empty line."""
         left_ms = max(_MIN_DEADLINE_MS, int(left_s * 1000))
         return (
             b"%s %s HTTP/1.1\r\nHost: %s\r\n%sDeadline-Ms: %d\r\n"
-            b"Target-Instance: %s\r\nContent-Length: %d\r\n\r\n%s"
+            b"Target-Instance: %s\r\nContent-Length: %d\r\n\r\n"
             % (
                 call.method,
                 call.target,
@@ -127,7 +129,6 @@
                 left_ms,
                 instance.encode(),
                 len(call.body),
-                call.body,
             )
         )
 
--- a/src/savorybend/platform/objects.py
+++ b/src/savorybend/platform/objects.py
@@ -13,6 +13,7 @@
 from savorybend.internal import sentinels
 from savorybend.platform import names
 from savorybend.platform import objecttexts
+from savorybend.relay import bytebudget
 from savorybend.relay import http1
 from savorybend.relay import responselimits
 from savorybend.relay import responseparser
@@ -26,8 +27,6 @@
 _WATCH_GRACE_S = 1.0
 _MAX_PAGES = 10_000
 _NO_ERA = 0
-# Bodies of all responses that are being received, in bytes.
-_MAX_BODY_MEMORY = 32 << 20
 _ERA = re.compile(rb"[0-9]{1,18}")
 
 _GET = b"GET"
@@ -56,12 +55,19 @@
     its request, and the store may write one late or twice.
     """
 
-    def __init__(self, address: settings.Address, counts: traffic.Traffic):
+    def __init__(
+        self,
+        address: settings.Address,
+        counts: traffic.Traffic,
+        budget: bytebudget.Budget,
+    ):
         self._address = address
         self._traffic = counts
         self._era = _NO_ERA
-        self._limits = responselimits.Limits()
-        self._memory = responselimits.create_body_memory(_MAX_BODY_MEMORY)
+        self._limits = responselimits.Limits(
+            body_bytes=budget.limit_bytes(bytebudget.Use.STORE)
+        )
+        self._budget = budget
 
     @property
     def calls(self) -> collections.abc.Mapping[tuple[str, str], int]:
@@ -278,7 +284,8 @@
                     lambda answered: answered.close(),
                     lambda ended: None,
                     self._limits,
-                    self._memory,
+                    self._budget,
+                    use=bytebudget.Use.STORE,
                 ),
                 *self._address,
             )
@@ -322,11 +329,16 @@
         )
 
 
-def create_client(address: settings.Address, counts: traffic.Traffic) -> Client:
+def create_client(
+    address: settings.Address,
+    counts: traffic.Traffic,
+    budget: bytebudget.Budget,
+) -> Client:
     """Returns a client for the store at an address.
 
     Args:
         address: The store's address.
         counts: Counts the calls.
+        budget: Room for the bodies of responses.
     """
-    return Client(address, counts)
+    return Client(address, counts, budget)
--- a/src/savorybend/platform/program.py
+++ b/src/savorybend/platform/program.py
@@ -12,6 +12,7 @@
 from savorybend.platform import objects
 from savorybend.platform import settings
 from savorybend.relay import assembly
+from savorybend.relay import bytebudget
 from savorybend.relay import logs
 from savorybend.relay import traffic
 
@@ -30,14 +31,16 @@
         return EXIT_USAGE
     sink = logs.configure(found.name)
     counts = traffic.create_traffic()
+    budget = bytebudget.create_budget(found.max_memory_bytes)
     adapter = assembly.Adapter(
         ingress=headers.Ingress(found.service),
         backend=headers.Backend(),
         decode_configuration=configuration.decode,
-        store=objects.create_client(found.store_address, counts),
+        store=objects.create_client(found.store_address, counts, budget),
         announcements=announcements.create_announcements,
         reload=lambda: settings.load(path),
         traffic=counts,
+        budget=budget,
     )
     try:
         asyncio.run(assembly.run(found, adapter, sink))
--- a/src/savorybend/relay/assembly.py
+++ b/src/savorybend/relay/assembly.py
@@ -15,6 +15,8 @@
 from savorybend.relay import announcing
 from savorybend.relay import backend
 from savorybend.relay import backgroundtasks
+from savorybend.relay import bytebudget
+from savorybend.relay import bytemetrics
 from savorybend.relay import callers
 from savorybend.relay import callqueue
 from savorybend.relay import capacity
@@ -81,6 +83,7 @@
         announcements: Creates the handler of backend servers' announcements.
         reload: Reads the settings again; raises `errors.InvalidSettingError`.
         traffic: Counts the store's calls and messages between daemons.
+        budget: Room for the bodies that the daemon holds.
     """
 
     ingress: typing.Any
@@ -90,6 +93,7 @@
     announcements: collections.abc.Callable[[typing.Any], typing.Any]
     reload: collections.abc.Callable[[], settings.Settings]
     traffic: traffic.Traffic
+    budget: bytebudget.Budget
 
 
 class Daemon:
@@ -111,6 +115,7 @@
         self._timers = timers.create_timer_service(clock)
         self._counters = counters.create_counters()
         self._counters.include(adapter.traffic)
+        self._counters.include(bytemetrics.create_byte_metrics(adapter.budget))
         self._catalog = catalog.create_catalog(adapter.decode_configuration)
         self._directory = directory.create_directory(loaded_settings.name)
         self._inquiry = inquiry.create_inquiry(
@@ -153,7 +158,7 @@
             adapter.backend,
             clock,
             self._tasks.start,
-            loaded_settings.max_memory_bytes,
+            adapter.budget,
             self._server_terms.note_answer,
         )
         self._counters.include(
@@ -172,6 +177,7 @@
                 timers=self._timers,
                 start=self._tasks.start,
                 traffic=adapter.traffic,
+                budget=adapter.budget,
             )
         )
         self._suspects = suspects.create_suspects(
@@ -249,6 +255,7 @@
             self._ingress.handle,
             clock,
             catalog.LiveLimits(self._catalog),
+            adapter.budget,
             int(loaded_settings.max_descriptors * _CALLER_DESCRIPTOR_FRACTION),
         )
         self._shutdown = shutdown.create_shutdown(
@@ -353,6 +360,7 @@
             listening.Parts(
                 settings=self._settings,
                 clock=self._timers.clock,
+                budget=self._adapter.budget,
                 callers=self._callers.create,
                 peers=self._peer_server.create,
                 on_announcement=announcements.handle,
--- a/src/savorybend/relay/callers.py
+++ b/src/savorybend/relay/callers.py
@@ -14,7 +14,9 @@
 import structlog
 
 from savorybend.internal import timers
+from savorybend.relay import bytebudget
 from savorybend.relay import http1
+from savorybend.relay import pacedwriter
 from savorybend.relay import writebatch
 
 # Connections examined for closing when a new one exceeds the limit.
@@ -26,6 +28,15 @@
 _MAX_CONNECTIONS = 1000
 _PAYLOAD_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+# Bytes of framing that a chunked body may have for each byte of its own.
+_MAX_FRAMING_RATIO = 8
+# Longest wait for room for a body, and how many of one listener's may wait;
+# each has some bytes already.
+_MAX_ROOM_WAIT_S = 1.0
+_MAX_WAITING = 16
+# A caller that is still sending when it is answered might lose the answer with
+# the connection. For this long, what it sends is read and dropped.
+_LINGER_S = 10.0
 
 _log = structlog.get_logger()
 
@@ -46,7 +57,8 @@
         method: The HTTP method.
         target: Path and query, as sent.
         headers: Names in lower case, and values.
-        body: The complete body.
+        body: The complete body; `bytes`, or a held buffer if it is large.
+        lacks_room: Whether the body isn't read, since there is no room.
         on_disconnect: Called if the caller disconnects before the answer.
         on_shutdown: Called if the daemon ends before the answer; gives one.
     """
@@ -56,21 +68,25 @@
         "target",
         "headers",
         "body",
+        "lacks_room",
         "on_disconnect",
         "on_shutdown",
         "_connection",
         "_keep",
         "_answer",
+        "_large_body",
     )
 
     def __init__(self, connection: "CallerConnection"):
         self._connection = connection
         self._answer: bytes | None = None
+        self._large_body: pacedwriter.Data = b""
         self._keep = True
         self.method = b""
         self.target = b""
         self.headers: http1.Headers = []
-        self.body = b""
+        self.body: bytes | bytearray = b""
+        self.lacks_room = False
         self.on_disconnect: collections.abc.Callable[[], None] | None = None
         self.on_shutdown: collections.abc.Callable[[], None] | None = None
 
@@ -86,10 +102,15 @@
 
     @property
     def answer(self) -> bytes | None:
-        """The bytes of the answer; None before it is given."""
+        """The answer, without a large body; None before it is given."""
         return self._answer
 
-    def reply(self, status: int, head: bytes, body: bytes) -> None:
+    @property
+    def large_body(self) -> pacedwriter.Data:
+        """The answer's body if it is large; it follows `answer`."""
+        return self._large_body
+
+    def reply(self, status: int, head: bytes, body: pacedwriter.Data) -> None:
         """Answers the request; a second answer is ignored.
 
         Args:
@@ -103,10 +124,16 @@
         self._keep = not close
         self.on_disconnect = None
         self.on_shutdown = None
+        # The request's body isn't needed any more, whoever refers to this.
+        self.body = b""
+        size = len(body)
+        if size > pacedwriter.WHOLE_BYTES:
+            self._large_body = body
+            body = b""
         self._answer = b"%s%sContent-Length: %d\r\n%s\r\n%s" % (
             http1.status_line(status),
             head,
-            len(body),
+            size,
             close,
             body,
         )
@@ -130,6 +157,7 @@
         handler: Handler,
         clock: timers.Clock,
         bounds: RequestLimits,
+        budget: bytebudget.Budget,
         max_connections: int = _MAX_CONNECTIONS,
     ):
         # Ordered by their last request, the least recent first.
@@ -139,6 +167,12 @@
         self.handler = handler
         self.clock = clock
         self.bounds = bounds
+        self.budget = budget
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for room for their body."""
+        return sum(one.waiting for one in self._connections)
 
     @property
     def closing(self) -> bool:
@@ -213,24 +247,45 @@
     def __init__(self, callers: CallerServer):
         self._callers = callers
         self._transport: asyncio.Transport | None = None
+        self._writer = pacedwriter.create_paced_writer()
         self._parser = httptools.HttpRequestParser(self)
         self._queue: collections.deque[Exchange] = collections.deque()
         self._current: Exchange | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._waiter: bytebudget.Waiter | None = None
+        self._in_head = True
         self._header_bytes = 0
         self._body_bytes = 0
+        # Bytes of this head, or of the body's framing, as far as they are
+        # known to be no others.
+        self._head_bytes = 0
+        self._framing_bytes = 0
         self._last_activity_s = 0.0
+        # No request is read any more; what arrives is dropped.
         self._refused = False
+        self._lingers = False
+        # Bytes of the refused body that are to come; None if it isn't known.
+        self._to_drop_bytes: int | None = None
+        # The last answer is written.
+        self._ended = False
+        self._ended_s = 0.0
+        self._unsent_bytes = 0
+        self._last_progress_s = 0.0
 
     @property
     def pending(self) -> int:
         """Number of requests that wait for an answer."""
         return len(self._queue)
 
+    @property
+    def waiting(self) -> bool:
+        """Whether a request waits for room for its body."""
+        return self._waiter is not None
+
     @property
     def writing(self) -> bool:
         """Whether bytes of answers wait to be written."""
-        return self._transport.get_write_buffer_size() > 0
+        return self._writer.unsent_bytes > 0
 
     @property
     def closing(self) -> bool:
@@ -240,16 +295,31 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and registers the connection."""
         self._transport = transport
+        self._writer.attach(transport)
         self._last_activity_s = self._callers.clock.now_s()
         self._callers.add(self)
 
+    def pause_writing(self) -> None:
+        """Stops writing, and reads no requests whose answers would wait."""
+        self._writer.pause()
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Goes on writing and reading."""
+        self._writer.resume()
+        self._update_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parses received data; passes complete requests to the handler."""
         if self._refused:
+            self._drop(len(data))
             return
+        current, body_bytes = self._current, self._body_bytes
         writebatch.CURRENT.begin()
         try:
             self._parser.feed_data(data)
+            if self._current is current:
+                self._check_size(len(data), self._body_bytes - body_bytes)
         except httptools.HttpParserCallbackError:
             # A mistake of this program. The request may have been passed on,
             # so no status is true.
@@ -263,6 +333,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notifies pending requests that their caller has disconnected."""
         self._callers.discard(self)
+        self._writer.clear()
+        self._drop_request()
         waiting, self._queue = self._queue, collections.deque()
         for exchange in waiting:
             if not exchange.answered and exchange.on_disconnect is not None:
@@ -270,15 +342,22 @@
 
     def on_message_begin(self) -> None:
         """Starts a new request."""
+        if self._refused:
+            return
         self._current = Exchange(self)
         self._callers.mark_used(self)
-        self._body = []
+        self._body = bytearray()
+        self._in_head = True
         self._header_bytes = 0
         self._body_bytes = 0
+        self._head_bytes = 0
+        self._framing_bytes = 0
         self._last_activity_s = self._callers.clock.now_s()
 
     def on_url(self, part: bytes) -> None:
         """Collects a part of the target; refuses it above the header limit."""
+        if self._refused:
+            return
         self._header_bytes += len(part)
         if self._header_bytes > self._callers.bounds.header_bytes:
             self._refuse(_HEADERS_TOO_LARGE)
@@ -287,34 +366,52 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header; refuses the request above the header limit."""
+        if self._refused:
+            return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > self._callers.bounds.header_bytes:
             self._refuse(_HEADERS_TOO_LARGE)
             return
         self._current.headers.append((name.lower(), value))
 
+    def on_headers_complete(self) -> None:
+        """Takes room for the body, or refuses it before it is read."""
+        if self._refused:
+            return
+        self._in_head = False
+        size = self._announced_bytes()
+        if size > self._callers.bounds.body_bytes:
+            self._refuse(_PAYLOAD_TOO_LARGE, lingers=True)
+        elif size > bytebudget.COUNTED_BYTES:
+            self._reserve(size)
+
     def on_body(self, part: bytes) -> None:
         """Collects a part of the body; refuses the request above the limit."""
+        if self._refused:
+            self._drop(len(part))
+            return
+        begin = self._body_bytes
         self._body_bytes += len(part)
+        self._last_activity_s = self._callers.clock.now_s()
         if self._body_bytes > self._callers.bounds.body_bytes:
-            self._refuse(_PAYLOAD_TOO_LARGE)
+            self._refuse(_PAYLOAD_TOO_LARGE, lingers=True)
             return
-        self._body.append(part)
+        if not self._has_room():
+            self._turn_away()
+            return
+        # Appends to a buffer that isn't longer.
+        self._body[begin : self._body_bytes] = part
 
     def on_message_complete(self) -> None:
         """Passes a complete request to the handler."""
         if self._refused:
             return
-        exchange = self._current
-        self._current = None
-        exchange.method = self._parser.get_method()
-        exchange.body = b"".join(self._body)
-        self._body = []
+        exchange = self._take_request()
+        exchange.body = self._take_body()
         if not self._parser.should_keep_alive():
             exchange.close_after_reply()
         self._queue.append(exchange)
-        if len(self._queue) >= _MAX_PIPELINED:
-            self._transport.pause_reading()
+        self._update_reading()
         self._callers.handler(exchange)
 
     def flush(self) -> None:
@@ -322,15 +419,16 @@
         queue = self._queue
         while queue and queue[0].answered:
             exchange = queue.popleft()
-            if self._transport.is_closing():
+            if self._ended or self._transport.is_closing():
                 continue
-            self._transport.write(exchange.answer)
+            self._writer.write(exchange.answer)
+            if exchange.large_body:
+                self._writer.write(exchange.large_body)
             if not exchange.keep:
                 # Pipelined requests after it count as unread and are resent.
-                self._transport.close()
+                self._end()
         self._last_activity_s = self._callers.clock.now_s()
-        if len(queue) < _MAX_PIPELINED and not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._update_reading()
 
     def end_requests(self) -> None:
         """Answers the requests that still wait for an answer."""
@@ -341,7 +439,7 @@
     def close_if_idle(self) -> None:
         """Closes the connection if no request is under way."""
         if not self._queue and self._current is None:
-            self._transport.close()
+            self._writer.close()
 
     def idle_s(self, now_s: float) -> float:
         """Returns how long no request has been under way, in seconds."""
@@ -350,22 +448,179 @@
         return now_s - self._last_activity_s
 
     def sweep(self, now_s: float) -> None:
-        """Closes the connection if it is idle or sends too slowly."""
-        if self._queue:
-            return
+        """Closes the connection if it is idle, too slow, or at its end."""
         bounds = self._callers.bounds
-        waited_s = now_s - self._last_activity_s
-        if self._current is None:
-            if waited_s > bounds.idle_timeout_s:
-                self._transport.close()
-        elif not self._body_bytes and waited_s > bounds.header_timeout_s:
-            self._transport.close()
-
-    def _refuse(self, status: int) -> None:
+        if self._is_stuck(now_s):
+            self._transport.abort()
+        elif self._ended:
+            if now_s - self._ended_s > _LINGER_S:
+                self._writer.close()
+        elif self._queue or self._unsent_bytes:
+            return
+        elif self._waiter is not None:
+            if now_s - self._last_activity_s > _MAX_ROOM_WAIT_S:
+                self._turn_away()
+        elif self._current is None or self._body_bytes:
+            if now_s - self._last_activity_s > bounds.idle_timeout_s:
+                self._writer.close()
+        elif now_s - self._last_activity_s > bounds.header_timeout_s:
+            self._writer.close()
+
+    def _is_stuck(self, now_s: float) -> bool:
+        """Returns whether the caller has taken nothing for too long."""
+        unsent_bytes = self._writer.unsent_bytes
+        if not unsent_bytes or unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._last_progress_s = now_s
+            return False
+        stuck_s = now_s - self._last_progress_s
+        return stuck_s > self._callers.bounds.idle_timeout_s
+
+    def _check_size(self, received_bytes: int, body_bytes: int) -> None:
+        """Refuses a head or a framing that doesn't end.
+
+        The parser collects a header, or a trailer, until its end.
+        """
+        if self._refused or self._current is None:
+            return
+        limit_bytes = self._callers.bounds.header_bytes
+        if self._in_head:
+            self._head_bytes += received_bytes
+            if self._head_bytes > limit_bytes:
+                self._refuse(_HEADERS_TOO_LARGE)
+            return
+        self._framing_bytes += received_bytes - body_bytes
+        limit_bytes += _MAX_FRAMING_RATIO * self._body_bytes
+        if self._framing_bytes > limit_bytes:
+            self._refuse(_BAD_REQUEST)
+
+    def _announced_bytes(self) -> int:
+        """Returns the length of the body that the head tells; 0 for none."""
+        for name, value in self._current.headers:
+            if name == b"content-length":
+                return int(value)
+        return 0
+
+    def _reserve(self, size: int) -> None:
+        """Takes room for a body of known length, waits for it, or refuses."""
+        budget = self._callers.budget
+        buffer = budget.hold(bytebudget.Use.REQUESTS, size)
+        if buffer is not None:
+            self._body = buffer
+        elif (
+            size > bytebudget.SMALL_BYTES
+            and budget.fits(bytebudget.Use.REQUESTS, size)
+            and self._callers.waiting < _MAX_WAITING
+        ):
+            self._waiter = budget.hold_later(
+                bytebudget.Use.REQUESTS, size, self._on_room
+            )
+            self._update_reading()
+        else:
+            self._turn_away()
+
+    def _on_room(self, buffer: bytebudget.HeldBuffer) -> None:
+        self._waiter = None
+        buffer[: self._body_bytes] = self._body
+        self._body = buffer
+        self._last_activity_s = self._callers.clock.now_s()
+        self._update_reading()
+
+    def _has_room(self) -> bool:
+        """Returns whether there is room for what has come of the body."""
+        if self._waiter is not None or self._body_bytes <= len(self._body):
+            return True
+        if self._body_bytes <= bytebudget.COUNTED_BYTES:
+            return True
+        # Its length is unknown; it might grow for ever, so it never waits.
+        match self._body:
+            case bytebudget.HeldBuffer() as held:
+                return held.grow(self._body_bytes)
+        held = self._callers.budget.hold(
+            bytebudget.Use.REQUESTS, 0, bytebudget.SMALL_BYTES + 1
+        )
+        if held is not None:
+            held += self._body
+            self._body = held
+        return held is not None
+
+    def _take_request(self) -> Exchange:
+        exchange, self._current = self._current, None
+        exchange.method = self._parser.get_method()
+        return exchange
+
+    def _take_body(self) -> bytes | bytearray:
+        body, self._body = self._body, bytearray()
+        match body:
+            case bytebudget.HeldBuffer():
+                body.shrink(len(body))
+                return body
+        return bytes(body)
+
+    def _drop_request(self) -> None:
+        """Drops the request that is being read."""
+        self._current = None
+        self._body = bytearray()
+        if self._waiter is not None:
+            self._waiter.cancel()
+            self._waiter = None
+
+    def _update_reading(self) -> None:
+        if self._transport.is_closing():
+            return
+        if not self._refused and (
+            len(self._queue) >= _MAX_PIPELINED
+            or self._writer.paused
+            or self._waiter is not None
+        ):
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _end(self) -> None:
+        """Closes the connection, once its caller can have read the answer."""
+        self._ended = True
+        self._ended_s = self._callers.clock.now_s()
+        if not self._lingers or self._to_drop_bytes == 0:
+            self._writer.close()
+
+    def _drop(self, size: int) -> None:
+        """Drops bytes of a refused body."""
+        if self._to_drop_bytes is None:
+            return
+        self._to_drop_bytes = max(0, self._to_drop_bytes - size)
+        if self._ended and not self._to_drop_bytes:
+            self._writer.close()
+
+    def _turn_away(self) -> None:
+        """Passes a request to the handler that refuses it, without its body."""
+        self._callers.budget.note_refusal(bytebudget.Use.REQUESTS)
+        self._note_rest()
+        exchange = self._take_request()
+        exchange.lacks_room = True
+        self._stop_requests(exchange)
+        self._callers.handler(exchange)
+
+    def _refuse(self, status: int, lingers: bool = False) -> None:
         if self._refused:
             return
-        self._refused = True
+        if lingers:
+            self._note_rest()
         exchange = Exchange(self)
+        self._stop_requests(exchange)
+        exchange.reply(status, b"", b"")
+
+    def _note_rest(self) -> None:
+        """Notes how much of the body, which is refused, is to come."""
+        self._lingers = True
+        announced_bytes = self._announced_bytes()
+        if announced_bytes:
+            self._to_drop_bytes = announced_bytes - self._body_bytes
+
+    def _stop_requests(self, exchange: Exchange) -> None:
+        """Makes a request the last one of the connection."""
+        self._drop_request()
+        self._refused = True
         exchange.close_after_reply()
         self._queue.append(exchange)
-        exchange.reply(status, b"", b"")
+        self._update_reading()
--- a/src/savorybend/relay/fleet.py
+++ b/src/savorybend/relay/fleet.py
@@ -10,6 +10,7 @@
 from savorybend.internal import timers
 from savorybend.relay import allowance
 from savorybend.relay import backgroundtasks
+from savorybend.relay import bytebudget
 from savorybend.relay import catalog
 from savorybend.relay import configurationfetch
 from savorybend.relay import directory
@@ -50,6 +51,7 @@
     timers: timers.TimerService
     start: backgroundtasks.Start
     traffic: traffic.Traffic
+    budget: bytebudget.Budget
 
 
 class Consumers(typing.NamedTuple):
@@ -108,6 +110,7 @@
             timers=parts.timers,
             start=parts.start,
             traffic=parts.traffic,
+            budget=parts.budget,
         )
 
     def connect(self, consumers: Consumers) -> peerserver.PeerServer:
--- a/src/savorybend/relay/ingress.py
+++ b/src/savorybend/relay/ingress.py
@@ -58,6 +58,15 @@
             exchange.close_after_reply()
             exchange.reply(_BAD_REQUEST, b"", b"")
             return
+        if exchange.lacks_room:
+            self._reject(
+                exchange,
+                incoming,
+                _UNAVAILABLE,
+                outcomes.MEMORY,
+                _RETRY_AFTER_S * (0.5 + self._parts.random_fraction()),
+            )
+            return
         configuration = self._parts.catalog.current
         if isinstance(configuration, sentinels.Absence):
             self._reject(exchange, incoming, _UNAVAILABLE, "unconfigured")
--- a/src/savorybend/relay/linkinterfaces.py
+++ b/src/savorybend/relay/linkinterfaces.py
@@ -5,6 +5,7 @@
 
 from savorybend.internal import timers
 from savorybend.relay import backgroundtasks
+from savorybend.relay import bytebudget
 from savorybend.relay import frames
 from savorybend.relay import outcomes
 from savorybend.relay import traffic
@@ -88,3 +89,4 @@
     timers: timers.TimerService
     start: backgroundtasks.Start
     traffic: traffic.Traffic
+    budget: bytebudget.Budget
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from savorybend.relay import bytebudget
 from savorybend.relay import calls
 from savorybend.relay import frames
 from savorybend.relay import linkinterfaces
@@ -196,6 +197,10 @@
             if self._persistent:
                 self._dial()
             return
+        if self._stream.waiting:
+            # It is this daemon that doesn't read.
+            self._last_received_s = now_s
+            return
         if self._last_ping_s > self._last_received_s:
             if now_s - self._last_ping_s > _PING_TIMEOUT_S:
                 _log.warning(
@@ -249,7 +254,14 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, stream = await loop.create_connection(
                     lambda: streams.Stream(
-                        self._on_message, self._on_end, self._parts.traffic
+                        self._on_message,
+                        self._on_end,
+                        self._parts.traffic,
+                        streams.Reserve(
+                            self._parts.budget,
+                            bytebudget.Use.ANSWERS,
+                            refuses=False,
+                        ),
                     ),
                     *address,
                 )
@@ -302,6 +314,14 @@
                 sent = self._sent.get(number)
                 if sent is not None and sent.written:
                     self._settle(sent, outcome)
+                if _is_large(outcome):
+                    # The peer holds it until it is acknowledged.
+                    self._ping()
+            case frames.Dropped(tag=frames.DONE_TAG, number=number):
+                self._received += 1
+                sent = self._sent.get(number)
+                if sent is not None and sent.written:
+                    self._settle(sent, outcomes.Lost(outcomes.MEMORY))
             case frames.Pong(statement=statement, version=version, load=load):
                 if statement is not None:
                     self._parts.events.on_statement(statement, self.daemon)
@@ -391,3 +411,10 @@
             self._note_failure(ConnectionResetError("closed before Hello"))
         elif self._sent or self._persistent:
             self._dial()
+
+
+def _is_large(outcome: outcomes.Outcome) -> bool:
+    match outcome:
+        case outcomes.Ran(body=body):
+            return len(body) > bytebudget.SMALL_BYTES
+    return False
--- a/src/savorybend/relay/listening.py
+++ b/src/savorybend/relay/listening.py
@@ -5,6 +5,7 @@
 import typing
 
 from savorybend.internal import timers
+from savorybend.relay import bytebudget
 from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import counters
@@ -14,6 +15,8 @@
 _METRICS_PATH = b"/metrics"
 _OK = 200
 _UNAVAILABLE = 503
+# Announcements and probes have some hundred bytes.
+_LIMITS = calls.CallerLimits(body_bytes=65_536)
 
 CreateProtocol = collections.abc.Callable[[], asyncio.BaseProtocol]
 
@@ -24,6 +27,7 @@
     Attributes:
         settings: The addresses.
         clock: The clock.
+        budget: Room for the bodies of requests.
         callers: Creates the protocol of a caller's connection.
         peers: Creates the protocol of another daemon's connection.
         on_announcement: Handles a request of the backend server.
@@ -33,6 +37,7 @@
 
     settings: settings.Settings
     clock: timers.Clock
+    budget: bytebudget.Budget
     callers: CreateProtocol
     peers: CreateProtocol
     on_announcement: collections.abc.Callable[[callers.Exchange], None]
@@ -47,10 +52,10 @@
         self._parts = parts
         self._servers: list[asyncio.Server] = []
         self._announcements = callers.CallerServer(
-            parts.on_announcement, parts.clock, calls.CallerLimits()
+            parts.on_announcement, parts.clock, _LIMITS, parts.budget
         )
         self._probes = callers.CallerServer(
-            self._on_probe, parts.clock, calls.CallerLimits()
+            self._on_probe, parts.clock, _LIMITS, parts.budget
         )
 
     async def open(self) -> None:
--- a/src/savorybend/relay/outcomes.py
+++ b/src/savorybend/relay/outcomes.py
@@ -22,6 +22,7 @@
 DAEMON_LOST = "daemon-lost"
 DEADLINE = "deadline"
 LEAVING = "leaving"
+MEMORY = "memory"
 
 # Mean time of a backend server without recent answers.
 NOT_MEASURED_S = 0.0
@@ -91,12 +92,12 @@
     Attributes:
         status: The HTTP status.
         head: Header lines to pass on, each with its line end.
-        body: The whole body.
+        body: The whole body; any type of bytes unless it was received.
     """
 
     status: int
     head: bytes
-    body: bytes
+    body: memoryview
 
 
 class NotRun(msgspec.Struct, array_like=True, tag=2):
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from savorybend.relay import bytebudget
 from savorybend.relay import calls
 from savorybend.relay import frames
 from savorybend.relay import linkinterfaces
@@ -63,7 +64,12 @@
     def create(self) -> streams.Stream:
         """Returns the protocol for a new connection."""
         return streams.Stream(
-            self._on_message, self._on_end, self._parts.traffic
+            self._on_message,
+            self._on_end,
+            self._parts.traffic,
+            streams.Reserve(
+                self._parts.budget, bytebudget.Use.REQUESTS, refuses=True
+            ),
         )
 
     def announce(self) -> None:
@@ -98,6 +104,8 @@
         match message:
             case frames.Run():
                 self._on_run(stream, message)
+            case frames.Dropped(tag=frames.RUN_TAG, number=number):
+                self._on_dropped(stream, number)
             case frames.Cancel(number=number):
                 self._on_cancel(stream, number)
             case frames.Ping(received=received):
@@ -188,6 +196,9 @@
         call.host = run.host
         call.head = run.head
         call.body = run.body
+        if len(run.body) <= bytebudget.COUNTED_BYTES:
+            # Not a view, which would keep all that arrived with it.
+            call.body = bytes(run.body)
         call.service = run.service
         call.route = run.route
         call.idempotent = run.idempotent
@@ -207,6 +218,16 @@
         if accepted.outcome is None:
             accepted.handle = handle
 
+    def _on_dropped(self, stream: streams.Stream, number: int) -> None:
+        """Refuses a call that was dropped for want of room."""
+        if self._streams.get(stream.peer) is not stream:
+            return
+        key = (stream.peer, number)
+        self._last_numbers[stream.peer, self._boots[stream.peer]] = number
+        accepted = _AcceptedCall(stream)
+        self._calls[key] = accepted
+        self._finish(key, accepted, outcomes.NotRun(outcomes.MEMORY))
+
     def _finish(
         self,
         key: tuple[str, int],
--- a/src/savorybend/relay/pool.py
+++ b/src/savorybend/relay/pool.py
@@ -12,6 +12,7 @@
 from savorybend.internal import timers
 from savorybend.relay import answerlog
 from savorybend.relay import backgroundtasks
+from savorybend.relay import bytebudget
 from savorybend.relay import calls
 from savorybend.relay import conditions
 from savorybend.relay import http1
@@ -31,10 +32,9 @@
 # Errors of this process, which say nothing about the backend server.
 _LOCAL_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
-# Fractions of the process's memory that the body of one response, and all
-# bodies that are being received, may use. Each is copied on its way.
-_MAX_BODY_FRACTION = 1 / 16
-_MAX_BODIES_FRACTION = 1 / 8
+# Fraction of the room for responses that the body of one may use, so that two
+# of the largest can be delivered to slow callers at once.
+_MAX_BODY_FRACTION = 0.5
 
 _log = structlog.get_logger()
 
@@ -42,8 +42,10 @@
 class Codec(typing.Protocol):
     """Encodes requests to a backend server and decodes its responses."""
 
-    def encode(self, call: calls.Call, instance: str, left_s: float) -> bytes:
-        """Returns the bytes of a request."""
+    def encode_head(
+        self, call: calls.Call, instance: str, left_s: float
+    ) -> bytes:
+        """Returns the head of a request, with the empty line."""
 
     def match(self, request_id: str, headers: http1.Headers) -> upstream.Match:
         """Returns how the headers of a response fit a request."""
@@ -100,15 +102,14 @@
         codec: Codec,
         clock: timers.Clock,
         start: backgroundtasks.Start,
-        max_memory_bytes: int,
+        budget: bytebudget.Budget,
         on_answer: OnAnswer,
     ):
+        room_bytes = budget.limit_bytes(bytebudget.Use.RESPONSES)
         self._limits = responselimits.Limits(
-            body_bytes=int(max_memory_bytes * _MAX_BODY_FRACTION)
-        )
-        self._memory = responselimits.create_body_memory(
-            int(max_memory_bytes * _MAX_BODIES_FRACTION)
+            body_bytes=int(room_bytes * _MAX_BODY_FRACTION)
         )
+        self._budget = budget
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
         self._codec = codec
@@ -211,7 +212,7 @@
                         self._on_idle,
                         self._on_end,
                         self._limits,
-                        self._memory,
+                        self._budget,
                         next(self._connection_numbers),
                         self,
                     ),
@@ -273,7 +274,11 @@
         sent_s = self._clock.now_s()
         left_s = call.deadline_s - sent_s
         self._requests_sent += 1
-        connection.send(self._codec.encode(call, instance, left_s), expected)
+        connection.send(
+            self._codec.encode_head(call, instance, left_s),
+            expected,
+            call.body,
+        )
 
     def _outcome(
         self,
--- a/src/savorybend/relay/responselimits.py
+++ b/src/savorybend/relay/responselimits.py
@@ -31,30 +31,3 @@
         """Returns whether a body may have so many bytes of framing."""
         allowed = _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * body_bytes
         return framing_bytes <= allowed
-
-
-class BodyMemory:
-    """Memory of the bodies that are being received, over all connections."""
-
-    def __init__(self, max_bytes: int):
-        self._max_bytes = max_bytes
-        self._used_bytes = 0
-
-    @property
-    def used_bytes(self) -> int:
-        """Bytes in use."""
-        return self._used_bytes
-
-    def take(self, size: int) -> bool:
-        """Takes some bytes; returns whether there were as many left."""
-        self._used_bytes += size
-        return self._used_bytes <= self._max_bytes
-
-    def release(self, size: int) -> None:
-        """Gives bytes back."""
-        self._used_bytes -= size
-
-
-def create_body_memory(max_bytes: int) -> BodyMemory:
-    """Returns an unused memory of `max_bytes`."""
-    return BodyMemory(max_bytes)
--- a/src/savorybend/relay/responseparser.py
+++ b/src/savorybend/relay/responseparser.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from savorybend.relay import bytebudget
 from savorybend.relay import http1
 from savorybend.relay import responselimits
 
@@ -21,6 +22,8 @@
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _FIRST_FINAL = 200
+# Room for a body of unknown length while it is short.
+_GROWTH_BYTES = 65_536
 
 
 class Response(typing.NamedTuple):
@@ -29,12 +32,12 @@
     Attributes:
         status: The HTTP status.
         headers: Names in lower case, and values.
-        body: The complete body.
+        body: The complete body; `bytes`, or a held buffer if it is large.
     """
 
     status: int
     headers: http1.Headers
-    body: bytes
+    body: bytes | bytearray
 
 
 class GarbledError(Exception):
@@ -50,10 +53,14 @@
     """Parses the responses on one connection."""
 
     def __init__(
-        self, limits: responselimits.Limits, memory: responselimits.BodyMemory
+        self,
+        limits: responselimits.Limits,
+        budget: bytebudget.Budget,
+        use: bytebudget.Use,
     ):
         self._limits = limits
-        self._memory = memory
+        self._budget = budget
+        self._use = use
         self._parser = httptools.HttpResponseParser(self)
         # The head that is being received; a parser that gets it in pieces
         # takes time that grows with the square of a header's length.
@@ -61,6 +68,13 @@
         self._headers: http1.Headers = []
         self._reason = b""
         self._body = bytearray()
+        # How much of the body has arrived; its buffer may be longer.
+        self._body_bytes = 0
+        # Room of a body of unknown length.
+        self._room_bytes = bytebudget.COUNTED_BYTES
+        # Size of the buffer that is needed before more is parsed; 0 for none.
+        self._needed_bytes = 0
+        self._unparsed = b""
         self._complete: list[Response] = []
         self._error: GarbledError | None = None
         self._begun = False
@@ -88,6 +102,30 @@
         """Whether the part that has arrived is a part of a head."""
         return bool(self._head)
 
+    @property
+    def needed_bytes(self) -> int:
+        """Room without which nothing more is parsed, in bytes; 0 for none."""
+        return self._needed_bytes
+
+    @property
+    def needed_size(self) -> int:
+        """Size of the buffer that takes the needed room, in bytes.
+
+        A body of unknown length is appended to an empty one.
+        """
+        return 0 if self._left_bytes is None else self._needed_bytes
+
+    def provide(self, buffer: bytebudget.HeldBuffer) -> None:
+        """Provides the buffer that is needed.
+
+        Args:
+            buffer: A buffer with room for `needed_bytes`.
+        """
+        if self._left_bytes is None:
+            buffer += self._body
+        self._body = buffer
+        self._needed_bytes = 0
+
     def take(self) -> list[Response]:
         """Returns the final responses that were completed since last time."""
         complete, self._complete = self._complete, []
@@ -100,7 +138,12 @@
             GarbledError: The data isn't a response, or goes beyond a limit.
                 Responses that are complete before it can be taken.
         """
+        if self._unparsed:
+            data, self._unparsed = self._unparsed + data, b""
         while data:
+            if self._needed_bytes:
+                self._unparsed = data
+                return
             completed = len(self._complete)
             if self._head is None:
                 data = self._feed_body(data)
@@ -118,14 +161,19 @@
         self._reusable = False
         if not (self._ends_with_connection and self._begun):
             return
+        if self._unparsed:
+            raise GarbledError("response without room for its body")
         if contains_status_line(self._body):
             raise GarbledError(_JOINED)
         self._end_response()
 
     def release(self) -> None:
-        """Gives back the memory of the body that is being received."""
-        self._memory.release(len(self._body))
+        """Drops the body that is being received, which gives back its room."""
         self._body = bytearray()
+        self._body_bytes = 0
+        self._room_bytes = bytebudget.COUNTED_BYTES
+        self._needed_bytes = 0
+        self._unparsed = b""
         self._framing_bytes = 0
         self._interim_responses = 0
 
@@ -169,20 +217,23 @@
             return
         if b"content-length" in names:
             self._left_bytes = self._announced_bytes()
+            self._reserve(self._left_bytes)
         else:
             self._ends_with_connection = True
 
     def on_body(self, part: bytes) -> None:
         """Collects a part of the body."""
         self._received_body_bytes += len(part)
-        if self._left_bytes is not None:
-            self._left_bytes -= len(part)
-        self._body += part
-        in_memory = self._memory.take(len(part))
-        if len(self._body) > self._limits.body_bytes:
+        begin = self._body_bytes
+        self._body_bytes += len(part)
+        if self._body_bytes > self._limits.body_bytes:
             self._refuse("response body too large")
-        if not in_memory:
-            self._refuse("response bodies use too much memory")
+        if self._left_bytes is None:
+            self._body += part
+            self._reserve_for_growth()
+            return
+        self._left_bytes -= len(part)
+        self._body[begin : self._body_bytes] = part
 
     def on_message_complete(self) -> None:
         """Keeps a complete final response."""
@@ -194,10 +245,47 @@
     def _end_response(self) -> None:
         self._begun = False
         status = self._parser.get_status_code()
-        self._complete.append(
-            Response(status, self._headers, bytes(self._body))
-        )
-        self.release()
+        body = self._body
+        match body:
+            case bytebudget.HeldBuffer():
+                body.shrink(len(body))
+            case _:
+                body = bytes(body)
+        self._complete.append(Response(status, self._headers, body))
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._room_bytes = bytebudget.COUNTED_BYTES
+        self._framing_bytes = 0
+        self._interim_responses = 0
+
+    def _reserve(self, size: int) -> None:
+        """Takes room for a body of known length, or asks for it."""
+        if size <= bytebudget.COUNTED_BYTES:
+            return
+        if size <= bytebudget.SMALL_BYTES:
+            self._body = self._budget.hold_small(size)
+            return
+        buffer = self._budget.hold(self._use, size)
+        if buffer is None:
+            self._needed_bytes = size
+        else:
+            self._body = buffer
+
+    def _reserve_for_growth(self) -> None:
+        """Takes room for a body of unknown length once it is large."""
+        if self._body_bytes <= self._room_bytes:
+            return
+        if self._body_bytes <= _GROWTH_BYTES:
+            self._room_bytes = _GROWTH_BYTES
+            self.provide(self._budget.hold_small(0, _GROWTH_BYTES))
+            return
+        # Two that grow little by little would wait for each other.
+        self._room_bytes = max(self._limits.body_bytes, self._body_bytes)
+        buffer = self._budget.hold(self._use, 0, self._room_bytes)
+        if buffer is None:
+            self._needed_bytes = self._room_bytes
+        else:
+            self.provide(buffer)
 
     def _feed_head(self, data: bytes) -> bytes:
         """Collects a head and parses it once complete; returns the rest."""
@@ -234,7 +322,7 @@
     def _check_framing(self, received_bytes: int) -> None:
         self._framing_bytes += received_bytes
         if not self._limits.allows_framing(
-            self._framing_bytes, len(self._body)
+            self._framing_bytes, self._body_bytes
         ):
             raise GarbledError("response framing too large")
 
@@ -245,8 +333,12 @@
             GarbledError: It does.
         """
         body = self._complete[-1].body
-        found = _STATUS_LINE.search(body + rest[:_STATUS_LINE_BYTES])
-        if found is not None and found.start() < len(body):
+        seen = body[-_STATUS_LINE_BYTES:] + rest[:_STATUS_LINE_BYTES]
+        found = _STATUS_LINE.search(seen)
+        begun = found is not None and found.start() < len(
+            body[-_STATUS_LINE_BYTES:]
+        )
+        if begun or contains_status_line(body):
             self._complete.pop()
             raise GarbledError(_JOINED)
 
@@ -280,12 +372,15 @@
 
 
 def create_response_parser(
-    limits: responselimits.Limits, memory: responselimits.BodyMemory
+    limits: responselimits.Limits,
+    budget: bytebudget.Budget,
+    use: bytebudget.Use,
 ) -> ResponseParser:
     """Returns the parser of a new connection.
 
     Args:
         limits: Bounds on each response.
-        memory: Memory of the bodies on all connections.
+        budget: Room for the bodies on all connections.
+        use: What the room is for.
     """
-    return ResponseParser(limits, memory)
+    return ResponseParser(limits, budget, use)
--- a/src/savorybend/relay/streams.py
+++ b/src/savorybend/relay/streams.py
@@ -9,13 +9,29 @@
 import structlog
 
 from savorybend.internal import errors
+from savorybend.relay import bytebudget
 from savorybend.relay import frames
+from savorybend.relay import pacedwriter
 from savorybend.relay import traffic
 from savorybend.relay import writebatch
 
 _log = structlog.get_logger()
 
 
+class Reserve(typing.NamedTuple):
+    """Room for the large messages on a connection.
+
+    Attributes:
+        budget: The room for bodies.
+        use: What it is used for here.
+        refuses: Whether messages without room are dropped; others wait.
+    """
+
+    budget: bytebudget.Budget
+    use: bytebudget.Use
+    refuses: bool
+
+
 class Stream(asyncio.Protocol):
     """A connection that carries messages and batches their writes.
 
@@ -35,13 +51,17 @@
         on_message: collections.abc.Callable[["Stream", typing.Any], None],
         on_end: collections.abc.Callable[["Stream"], None],
         counts: traffic.Traffic,
+        reserve: "Reserve",
     ):
         self._on_message = on_message
         self._on_end = on_end
         self._traffic = counts
-        self._splitter = frames.FrameDecoder()
+        self._reserve = reserve
+        self._decoder = frames.FrameDecoder(self._on_begin)
+        self._waiter: bytebudget.Waiter | None = None
         self._transport: asyncio.Transport | None = None
-        self._out: list[bytes] = []
+        self._writer = pacedwriter.create_paced_writer()
+        self._out: list[bytes | memoryview] = []
         self.peer = ""
         self.answered: collections.deque[tuple[str, int]] = collections.deque()
         self.acknowledged = 0
@@ -58,46 +78,49 @@
     @property
     def writing(self) -> bool:
         """Whether messages wait to be written."""
-        if self._out:
-            return True
-        return (
-            self._transport is not None
-            and self._transport.get_write_buffer_size() > 0
-        )
+        return bool(self._out) or self._writer.unsent_bytes > 0
+
+    @property
+    def waiting(self) -> bool:
+        """Whether nothing is read until there is room for a large message."""
+        return self._waiter is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and enables TCP keep-alive."""
         self._transport = transport
+        self._writer.attach(transport)
         keep_alive(transport.get_extra_info("socket"))
 
+    def pause_writing(self) -> None:
+        """Stops writing, since the peer reads slowly."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on writing."""
+        self._writer.resume()
+
     def data_received(self, data: bytes) -> None:
         """Passes complete messages on; aborts if one is invalid."""
-        writebatch.CURRENT.begin()
-        try:
-            for message in self._splitter.feed(data):
-                self._on_message(self, message)
-        except errors.InvalidMessageError as error:
-            _log.warning("peer_refused", peer=self.peer, error=str(error))
-            self.abort()
-        finally:
-            writebatch.CURRENT.end()
+        self._receive(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notifies the owner."""
+        self._drop_bytes()
         self._on_end(self)
 
     def send(self, message: frames.Message) -> None:
         """Queues a message; it is sent when the current event ends."""
         if not self._out:
             writebatch.CURRENT.defer(self._flush)
-        data = frames.encode(message)
+        parts = frames.encode_parts(message)
         self._traffic.count_message(
-            type(message).__name__, self.remote, len(data)
+            type(message).__name__, self.remote, sum(map(len, parts))
         )
-        self._out.append(data)
+        self._out += parts
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self._drop_bytes()
         if self._transport is not None:
             self._transport.abort()
 
@@ -105,15 +128,74 @@
         """Sends queued messages, then closes the connection."""
         self._flush()
         if self._transport is not None:
-            self._transport.close()
+            self._writer.close()
+
+    def _receive(self, data: bytes) -> None:
+        writebatch.CURRENT.begin()
+        try:
+            for message in self._decoder.feed(data):
+                self._on_message(self, message)
+            if self._decoder.awaited is not None and self._waiter is None:
+                self._wait_for_room(self._decoder.awaited.size)
+        except errors.InvalidMessageError as error:
+            _log.warning("peer_refused", peer=self.peer, error=str(error))
+            self.abort()
+        finally:
+            writebatch.CURRENT.end()
 
     def _flush(self) -> None:
-        if not self._out:
+        out, self._out = self._out, []
+        if not out or self.closed:
             return
-        data = b"".join(self._out)
+        small: list[bytes | memoryview] = []
+        for part in out:
+            if len(part) <= pacedwriter.WHOLE_BYTES:
+                small.append(part)
+                continue
+            self._write_joined(small)
+            self._writer.write(part)
+            small = []
+        self._write_joined(small)
+
+    def _write_joined(self, parts: list[bytes | memoryview]) -> None:
+        if parts:
+            self._writer.write(b"".join(parts))
+
+    def _on_begin(self, begin: frames.Begin) -> bytearray | frames.Room:
+        """Returns a buffer for a large message, or what is done without."""
+        budget, use = self._reserve.budget, self._reserve.use
+        if begin.size <= bytebudget.SMALL_BYTES and not self._reserve.refuses:
+            return budget.hold_small(begin.size)
+        buffer = budget.hold(use, begin.size)
+        if buffer is not None:
+            return buffer
+        if self._reserve.refuses or not budget.fits(use, begin.size):
+            budget.note_refusal(use)
+            return frames.Room.NONE
+        return frames.Room.LATER
+
+    def _wait_for_room(self, size: int) -> None:
+        self._transport.pause_reading()
+        self._waiter = self._reserve.budget.hold_later(
+            self._reserve.use, size, self._on_room
+        )
+
+    def _on_room(self, buffer: bytebudget.HeldBuffer) -> None:
+        self._waiter = None
+        if self.closed:
+            return
+        self._decoder.provide(buffer)
+        self._transport.resume_reading()
+        self._receive(b"")
+
+    def _drop_bytes(self) -> None:
+        """Drops what is to be sent and what was received in part."""
         self._out.clear()
-        if not self.closed:
-            self._transport.write(data)
+        self._writer.clear()
+        self._decoder = frames.FrameDecoder(self._on_begin)
+        if self._waiter is not None:
+            self._waiter.cancel()
+            self._waiter = None
 
 
 def keep_alive(sock: socket.socket | None) -> None:
--- a/src/savorybend/relay/upstream.py
+++ b/src/savorybend/relay/upstream.py
@@ -9,7 +9,9 @@
 import structlog
 
 from savorybend.relay import answerlog
+from savorybend.relay import bytebudget
 from savorybend.relay import http1
+from savorybend.relay import pacedwriter
 from savorybend.relay import responselimits
 from savorybend.relay import responseparser
 from savorybend.relay import writebatch
@@ -110,15 +112,22 @@
         on_idle: collections.abc.Callable[["ServerConnection"], None],
         on_end: collections.abc.Callable[["ServerConnection"], None],
         limits: responselimits.Limits,
-        memory: responselimits.BodyMemory,
+        budget: bytebudget.Budget,
         number: int = 0,
         observer: Observer = _NO_OBSERVER,
+        use: bytebudget.Use = bytebudget.Use.RESPONSES,
     ):
         self._on_idle = on_idle
         self._on_end = on_end
         self._number = number
         self._observer = observer
-        self._parser = responseparser.create_response_parser(limits, memory)
+        self._parser = responseparser.create_response_parser(
+            limits, budget, use
+        )
+        self._budget = budget
+        self._use = use
+        self._waiter: bytebudget.Waiter | None = None
+        self._writer = pacedwriter.create_paced_writer()
         self._transport: asyncio.Transport | None = None
         self._expected: PendingRequest | None = None
         self._unusable = False
@@ -147,30 +156,55 @@
         """
         return hash(request_id) in self._carried_ids
 
-    def send(self, data: bytes, expected: PendingRequest) -> None:
-        """Sends a request; its result goes to the callback of `expected`."""
+    def send(
+        self,
+        head: bytes,
+        expected: PendingRequest,
+        body: pacedwriter.Data = b"",
+    ) -> None:
+        """Sends a request.
+
+        Args:
+            head: Its head, with the empty line.
+            expected: Receives the result.
+            body: Its body, which must not change meanwhile.
+        """
         self._requests += 1
         self._carried_ids.add(hash(expected.request_id))
         if self._requests >= _MAX_REQUESTS:
             self._unusable = True
         self._expected = expected
-        self._transport.write(data)
+        if len(body) <= pacedwriter.WHOLE_BYTES:
+            self._writer.write(head + body)
+            return
+        self._writer.write(head)
+        self._writer.write(body)
 
     def abort(self) -> None:
         """Closes the connection at once, without calling the callback."""
-        self._parser.release()
+        self._drop_bytes()
         self._expected = None
         self._unusable = True
         self._transport.abort()
 
     def close(self) -> None:
-        """Closes the connection after pending writes."""
+        """Closes the connection; drops what is left of a large body."""
         self._unusable = True
+        self._writer.clear()
         self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
         self._transport = transport
+        self._writer.attach(transport)
+
+    def pause_writing(self) -> None:
+        """Stops writing, since the server reads slowly."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on writing."""
+        self._writer.resume()
 
     def data_received(self, data: bytes) -> None:
         """Parses received data, all of it before a response is passed on."""
@@ -206,6 +240,34 @@
         except responseparser.GarbledError as garbled:
             error = str(garbled)
         self._handle_responses(error)
+        if self._parser.needed_bytes and self._waiter is None:
+            self._wait_for_room()
+
+    def _wait_for_room(self) -> None:
+        """Stops reading until there is room for the body."""
+        self._transport.pause_reading()
+        self._waiter = self._budget.hold_later(
+            self._use,
+            self._parser.needed_size,
+            self._on_room,
+            self._parser.needed_bytes,
+        )
+
+    def _on_room(self, buffer: bytebudget.HeldBuffer) -> None:
+        self._waiter = None
+        if self._expected is None or self._transport.is_closing():
+            return
+        self._parser.provide(buffer)
+        self._transport.resume_reading()
+        self._receive(lambda: self._parser.feed(b""))
+
+    def _drop_bytes(self) -> None:
+        """Drops what is received and what is to be sent."""
+        self._parser.release()
+        self._writer.clear()
+        if self._waiter is not None:
+            self._waiter.cancel()
+            self._waiter = None
 
     def _handle_responses(self, error: str) -> None:
         """Passes on the response to the pending request, if it is there.
@@ -294,7 +356,7 @@
         ) and responseparser.contains_status_line(response.body)
 
     def _end_request(self, response: responseparser.Response) -> None:
-        if self._transport.get_write_buffer_size():
+        if self._writer.unsent_bytes:
             # The response came before the whole request was written.
             self._unusable = True
         expected, self._expected = self._expected, None
@@ -305,7 +367,7 @@
         self._call(expected, response)
 
     def _finish(self, result: NoResponse) -> None:
-        self._parser.release()
+        self._drop_bytes()
         self._unusable = True
         expected, self._expected = self._expected, None
         if expected is not None:
--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -32,7 +32,9 @@
 HOST = "shop.example"
 
 
-def configuration(version=1, rate_per_s=1000, keys=(KEY,), routes=None):
+def configuration(
+    version=1, rate_per_s=1000, keys=(KEY,), routes=None, body_bytes=1 << 20
+):
     """Returns a configuration in the operator's format."""
     resources = [
         {
@@ -68,7 +70,7 @@
             "metadata": {},
             "spec": {
                 "maxHeaderBytes": 16384,
-                "maxBodyBytes": 1 << 20,
+                "maxBodyBytes": body_bytes,
                 "headerTimeout": "3000ms",
                 "idleTimeout": "15000ms",
             },
@@ -185,6 +187,8 @@
 bounds = ["grace=4s", "drain=2000ms", "quotaSlack=0"]
 appAddr = "{host}:{base + 4}"
 service = "{self.service}"
+[limits]
+memoryMb = {self._fleet.memory_mb}
 [listenAddrs]
 outbound = "{host}:{base}"
 ready = "{host}:{base + 2}"
@@ -195,15 +199,22 @@
 
 
 class Fleet:
-    """Machines, the store, and a caller."""
+    """Machines, the store, and a caller.
+
+    Attributes:
+        memory_mb: Memory that each daemon may use.
+    """
 
-    def __init__(self, folder, base_port, command, create_worker):
+    def __init__(
+        self, folder, base_port, command, create_worker, memory_mb=256
+    ):
         self.folder = folder
         self.base_port = base_port
         self.create_worker = create_worker
         self.store = standin_store.Store()
         self.machines = []
         self.session = None
+        self.memory_mb = memory_mb
         self.command = command or (lambda name: [sys.executable])
         self._runner = None
 
@@ -303,9 +314,10 @@
     command=None,
     data_centres=2,
     create_worker=standin_worker.Worker,
+    memory_mb=256,
 ):
     """Runs a fleet with a machine for each service."""
-    fleet = Fleet(folder, base_port, command, create_worker)
+    fleet = Fleet(folder, base_port, command, create_worker, memory_mb)
     try:
         await fleet.start(services, data_centres)
         yield fleet
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -10,6 +10,7 @@
 from savorybend.platform import headers
 from savorybend.platform import names
 from savorybend.platform import settings
+from savorybend.relay import bytebudget
 from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import outcomes
@@ -186,10 +187,11 @@
 
 
 def test_a_request_names_the_instance_and_the_time_left():
-    data = headers.Backend().encode(samples.call(body=b"xy"), "i-7", 1.2345)
+    call = samples.call(body=b"xy")
+    data = headers.Backend().encode_head(call, "i-7", 1.2345)
     assert b"Target-Instance: i-7\r\n" in data
     assert b"Deadline-Ms: 1234\r\n" in data
-    assert data.endswith(b"Content-Length: 2\r\n\r\nxy")
+    assert data.endswith(b"Content-Length: 2\r\n\r\n")
 
 
 class _Listener:
@@ -274,7 +276,10 @@
         listener = _Listener()
         handler = announcements.create_announcements(listener).handle
         server = callers.CallerServer(
-            handler, fakes.create_clock(), calls.CallerLimits()
+            handler,
+            fakes.create_clock(),
+            calls.CallerLimits(),
+            bytebudget.create_budget(1 << 28),
         )
         connection = server.create()
         connection.connection_made(transports.RecordingTransport())
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -8,6 +8,7 @@
 
 from savorybend.internal import errors
 from savorybend.platform import objects
+from savorybend.relay import bytebudget
 from savorybend.relay import settings
 from savorybend.relay import store
 from savorybend.relay import traffic
@@ -26,7 +27,9 @@
         yield (
             kept,
             objects.create_client(
-                settings.Address("127.0.0.1", port), traffic.create_traffic()
+                settings.Address("127.0.0.1", port),
+                traffic.create_traffic(),
+                bytebudget.create_budget(1 << 28),
             ),
         )
     finally:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -12,6 +12,7 @@
 from savorybend.internal import errors
 from savorybend.platform import jsonparts
 from savorybend.platform import objects
+from savorybend.relay import bytebudget
 from savorybend.relay import frames
 from savorybend.relay import presence
 from savorybend.relay import settings
@@ -31,7 +32,9 @@
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     address = settings.Address("127.0.0.1", runner.addresses[0][1])
-    client = objects.create_client(address, traffic.create_traffic())
+    client = objects.create_client(
+        address, traffic.create_traffic(), bytebudget.create_budget(1 << 28)
+    )
     try:
         async with asyncio.timeout(_TIMEOUT_S):
             yield kept, client
--- a/tests/platform/test_store_answers.py
+++ b/tests/platform/test_store_answers.py
@@ -8,6 +8,7 @@
 
 from savorybend.internal import errors
 from savorybend.platform import objects
+from savorybend.relay import bytebudget
 from savorybend.relay import settings
 from savorybend.relay import store
 from savorybend.relay import traffic
@@ -96,7 +97,9 @@
     server = await asyncio.start_server(stuttering.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     address = settings.Address("127.0.0.1", port)
-    client = objects.create_client(address, traffic.create_traffic())
+    client = objects.create_client(
+        address, traffic.create_traffic(), bytebudget.create_budget(1 << 28)
+    )
     try:
         yield stuttering, client
     finally:
--- a/tests/relay/linkpairs.py
+++ b/tests/relay/linkpairs.py
@@ -6,13 +6,18 @@
 
 from savorybend.internal import timers
 from savorybend.relay import backgroundtasks
+from savorybend.relay import bytebudget
 from savorybend.relay import linkinterfaces
 from savorybend.relay import links
 from savorybend.relay import outcomes
 from savorybend.relay import peerserver
+from savorybend.relay import streams
 from savorybend.relay import traffic
 from tests.relay import samples
 
+# Of both daemons of a pair.
+BUDGET = bytebudget.create_budget(1 << 28)
+RESERVE = streams.Reserve(BUDGET, bytebudget.Use.REQUESTS, refuses=True)
 LOAD = outcomes.Load(0, 0, 1, 0.0, 1.0, {})
 RAN = outcomes.Ran(200, b"", b"whole")
 FAILED = outcomes.Ran(500, b"", b"failed")
@@ -79,6 +84,7 @@
         timers.create_timer_service(clock),
         tasks.start,
         traffic.create_traffic(),
+        BUDGET,
     )
 
 
--- a/tests/relay/servers.py
+++ b/tests/relay/servers.py
@@ -7,6 +7,7 @@
 
 from savorybend.platform import headers
 from savorybend.relay import backgroundtasks
+from savorybend.relay import bytebudget
 from savorybend.relay import calls
 from savorybend.relay import pool
 from tests import fakes
@@ -92,7 +93,7 @@
             headers.Backend(),
             self.clock,
             self._tasks.start,
-            1 << 28,
+            bytebudget.create_budget(1 << 28),
             self.answers.append,
         )
 
--- a/tests/relay/test_answerlog.py
+++ b/tests/relay/test_answerlog.py
@@ -3,6 +3,7 @@
 import structlog
 
 from savorybend.relay import answerlog
+from savorybend.relay import bytebudget
 from savorybend.relay import responselimits
 from savorybend.relay import upstream
 from tests.relay import transports
@@ -24,7 +25,7 @@
         lambda idle: None,
         lambda ended: None,
         responselimits.Limits(),
-        responselimits.create_body_memory(1 << 20),
+        bytebudget.create_budget(1 << 24),
         7,
         observer,
     )
--- a/tests/relay/test_endless_bytes.py
+++ b/tests/relay/test_endless_bytes.py
@@ -8,12 +8,14 @@
 import pytest
 from hypothesis import strategies
 
+from savorybend.relay import bytebudget
 from savorybend.relay import responselimits
 from savorybend.relay import upstream
 from tests.relay import transports
 
 _LIMITS = responselimits.Limits(body_bytes=200_000)
-_MEMORY_BYTES = 1_000_000
+# Room for responses: 1 MB.
+_MEMORY_BYTES = 8_000_000
 _ANSWER = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody"
 _CHUNKED = (
     b"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -68,12 +70,16 @@
         )
 
     def feed(self, data):
-        if not self.transport.is_closing():
+        if not (self.transport.is_closing() or self.transport.paused):
             self.connection.data_received(data)
 
 
 def _memory():
-    return responselimits.create_body_memory(_MEMORY_BYTES)
+    return bytebudget.create_budget(_MEMORY_BYTES)
+
+
+def _held_bytes(memory):
+    return sum(memory.held_bytes.values())
 
 
 @pytest.mark.parametrize("name", _ENDLESS)
@@ -93,23 +99,30 @@
     assert call.got[0].garbled
     assert call.transport.aborted
     assert not call.connection.usable
-    assert memory.used_bytes == 0
+    assert _held_bytes(memory) == 0
 
 
-def test_many_bodies_without_end_leave_the_memory_to_small_calls():
+async def test_many_bodies_without_end_leave_the_memory_to_small_calls():
     memory = _memory()
     begin, repeated = _ENDLESS["a body without length"]
     endless = [_Call(memory) for _ in range(50)]
     for call in endless:
         call.feed(begin)
-    for _ in range(3_000):
+    rounds = 0
+    while not all(call.transport.aborted for call in endless):
         for call in endless:
             call.feed(repeated)
-        assert memory.used_bytes <= _MEMORY_BYTES
+        await asyncio.sleep(0)
+        held = memory.held_bytes
+        responses = bytebudget.Use.RESPONSES
+        assert held[responses] <= memory.limit_bytes(responses)
+        assert held[bytebudget.Use.SMALL] <= len(endless) * 65_536
+        rounds += 1
+        assert rounds < 30_000
         small = _Call(memory)
         small.feed(_ANSWER)
         assert len(small.got) == 1
-    assert all(call.transport.aborted for call in endless)
+    assert _held_bytes(memory) == 0
 
 
 def _pieces(text, cuts):
@@ -162,7 +175,7 @@
         call.feed(piece)
     call.connection.connection_lost(None)
     assert len(call.got) == 1
-    assert memory.used_bytes == 0
+    assert _held_bytes(memory) == 0
 
 
 @hypothesis.given(strategies.sampled_from([_ANSWER, _CHUNKED]), _CUTS)
--- a/tests/relay/test_http1.py
+++ b/tests/relay/test_http1.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from savorybend.relay import bytebudget
 from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import responselimits
@@ -12,7 +13,11 @@
 
 def _callers(handler, most=1000):
     return callers.CallerServer(
-        handler, fakes.create_clock(), calls.CallerLimits(), most
+        handler,
+        fakes.create_clock(),
+        calls.CallerLimits(),
+        bytebudget.create_budget(1 << 24),
+        most,
     )
 
 
@@ -160,7 +165,7 @@
         idle.append,
         ended.append,
         responselimits.Limits(),
-        responselimits.create_body_memory(1 << 20),
+        bytebudget.create_budget(1 << 24),
     )
     transport = transports.RecordingTransport()
     connection.connection_made(transport)
--- a/tests/relay/test_link_outcomes.py
+++ b/tests/relay/test_link_outcomes.py
@@ -74,7 +74,10 @@
 
     def _create(self):
         stream = streams.Stream(
-            self._on_message, lambda ended: None, traffic.create_traffic()
+            self._on_message,
+            lambda ended: None,
+            traffic.create_traffic(),
+            linkpairs.RESERVE,
         )
         self.streams.append(stream)
         return stream
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -140,7 +140,10 @@
     for boot in boots:
         _, stream = await loop.create_connection(
             lambda: streams.Stream(
-                lambda *said: None, lambda ended: None, traffic.create_traffic()
+                lambda *said: None,
+                lambda ended: None,
+                traffic.create_traffic(),
+                linkpairs.RESERVE,
             ),
             "127.0.0.1",
             port,
--- a/tests/relay/transports.py
+++ b/tests/relay/transports.py
@@ -10,12 +10,14 @@
         written: All data written.
         closed: Whether it was closed.
         aborted: Whether it was closed at once.
+        paused: Whether nothing is to be read.
     """
 
     def __init__(self):
         self.written = b""
         self.closed = False
         self.aborted = False
+        self.paused = False
 
     def write(self, data):
         self.written += data
@@ -23,6 +25,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def set_write_buffer_limits(self, high):
+        pass
+
     def is_closing(self):
         return self.closed
 
@@ -33,10 +38,10 @@
         self.closed = True
 
     def pause_reading(self):
-        pass
+        self.paused = True
 
     def resume_reading(self):
-        pass
+        self.paused = False
 
 
 def match(request_id):
