Give up responses without end at the own interface

Cause: the HTTP client's library queues interim responses without a bound: 50 calls to a server that wrote them without end took a daemon from 46 to 155 MiB in 3 s, and to 278 MiB in 9 s. Whole bodies from the platform and from other daemons were read for as long as there was time. Change: a connection with more than 16 interim responses is given up, and so is a whole body of more than 16 MiB.

--- a/src/savorybend/internal/backendanswers.py
+++ b/src/savorybend/internal/backendanswers.py
@@ -13,6 +13,7 @@
 from aiohttp import connector
 from aiohttp import http
 
+from savorybend.internal import boundedresponses
 from savorybend.internal import errors
 from savorybend.internal import headers
 from savorybend.internal import logs
@@ -29,6 +30,8 @@
 _SWITCHING_PROTOCOLS = 101
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
+# Larger bodies are streamed; those of the platform and of daemons are smaller.
+_MAX_WHOLE_BYTES = 16 << 20
 
 _log = logs.get()
 
@@ -51,6 +54,20 @@
         await super().start(connection)
         return self
 
+    async def read(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            aiohttp.ClientPayloadError: The body broke off, or has no end.
+        """
+        if self._body is None:
+            try:
+                self._body = await boundedresponses.read(self, _MAX_WHOLE_BYTES)
+            except BaseException:
+                self.close()
+                raise
+        return await super().read()
+
     def check_head(self, request_id: str) -> None:
         """Checks that the head can be that of a request's response.
 
--- a/src/savorybend/internal/sessions.py
+++ b/src/savorybend/internal/sessions.py
@@ -8,12 +8,13 @@
 import aiohttp
 
 from savorybend.internal import backendanswers
+from savorybend.internal import boundedresponses
 
 
 def create_session() -> aiohttp.ClientSession:
     """Returns a session that opens a connection for each request."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=boundedresponses.create_connector(),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         response_class=backendanswers.Response,
