Split the callers' connection and the frame decoder into modules

Change: the exchange, the connection, the body that it reads and the decoder of messages have modules of their own; no logic changes.

--- a/src/savorybend/platform/announcements.py
+++ b/src/savorybend/platform/announcements.py
@@ -8,7 +8,7 @@
 
 from savorybend.platform import names
 from savorybend.relay import backend
-from savorybend.relay import callers
+from savorybend.relay import exchanges
 from savorybend.relay import frames
 from savorybend.relay import presence
 
@@ -71,7 +71,7 @@
     def __init__(self, listener: Listener):
         self._listener = listener
 
-    def handle(self, exchange: callers.Exchange) -> None:
+    def handle(self, exchange: exchanges.Exchange) -> None:
         """Answers a request, at once or when the announcement is stored."""
         instance, action = _split(exchange.target)
         if not instance:
@@ -128,7 +128,7 @@
 
 
 def _acknowledger(
-    exchange: callers.Exchange,
+    exchange: exchanges.Exchange,
 ) -> collections.abc.Callable[[], None]:
     def acknowledge() -> None:
         exchange.reply(_OK, b"Content-Type: application/json\r\n", b"{}")
--- a/src/savorybend/platform/headers.py
+++ b/src/savorybend/platform/headers.py
@@ -4,9 +4,9 @@
 import re
 
 from savorybend.platform import names
-from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import conditions
+from savorybend.relay import exchanges
 from savorybend.relay import http1
 from savorybend.relay import outcomes
 from savorybend.relay import responseparser
@@ -58,7 +58,7 @@
         """Sets the service of this VM's backend server."""
         self._service = service
 
-    def decode(self, exchange: callers.Exchange) -> calls.Incoming | None:
+    def decode(self, exchange: exchanges.Exchange) -> calls.Incoming | None:
         """Returns the decoded request; None if it is malformed."""
         head = []
         request_id = b""
--- a/src/savorybend/relay/forwarding.py
+++ b/src/savorybend/relay/forwarding.py
@@ -11,11 +11,11 @@
 from savorybend.internal import timers
 from savorybend.relay import admission
 from savorybend.relay import allowance
-from savorybend.relay import callers
 from savorybend.relay import calllog
 from savorybend.relay import calls
 from savorybend.relay import catalog
 from savorybend.relay import counters
+from savorybend.relay import exchanges
 from savorybend.relay import loadbalancer
 from savorybend.relay import outcomes
 from savorybend.relay import retrybudget
@@ -42,7 +42,7 @@
 class IngressCodec(typing.Protocol):
     """Converts between HTTP requests of callers and calls."""
 
-    def decode(self, exchange: callers.Exchange) -> calls.Incoming | None:
+    def decode(self, exchange: exchanges.Exchange) -> calls.Incoming | None:
         """Decodes a request; returns None if it is malformed."""
 
     def added_headers(self, client_account: str) -> bytes:
@@ -135,7 +135,7 @@
     def __init__(
         self,
         parts: Parts,
-        exchange: callers.Exchange,
+        exchange: exchanges.Exchange,
         call: calls.Call,
         route: calls.Route,
         account: calls.ClientAccount | None,
--- a/src/savorybend/relay/ingress.py
+++ b/src/savorybend/relay/ingress.py
@@ -8,9 +8,9 @@
 from savorybend.internal import sentinels
 from savorybend.relay import admission
 from savorybend.relay import allowance
-from savorybend.relay import callers
 from savorybend.relay import calllog
 from savorybend.relay import calls
+from savorybend.relay import exchanges
 from savorybend.relay import forwarding
 from savorybend.relay import outcomes
 
@@ -39,7 +39,7 @@
 class _RoutedRequest(typing.NamedTuple):
     """A request whose route is known, before a call is created for it."""
 
-    exchange: callers.Exchange
+    exchange: exchanges.Exchange
     incoming: calls.Incoming
     route: calls.Route
     arrived_s: float
@@ -51,7 +51,7 @@
     def __init__(self, parts: forwarding.Parts):
         self._parts = parts
 
-    def handle(self, exchange: callers.Exchange) -> None:
+    def handle(self, exchange: exchanges.Exchange) -> None:
         """Handles a request; the exchange is answered at once or later."""
         incoming = self._parts.codec.decode(exchange)
         if incoming is None:
@@ -185,7 +185,7 @@
 
     def _shed(
         self,
-        exchange: callers.Exchange,
+        exchange: exchanges.Exchange,
         incoming: calls.Incoming,
         call: calls.Call,
         fraction: float,
@@ -262,7 +262,7 @@
 
     def _reject(
         self,
-        exchange: callers.Exchange,
+        exchange: exchanges.Exchange,
         incoming: calls.Incoming,
         status: int,
         reason: str,
--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -12,6 +12,7 @@
 
 from savorybend.relay import bytebudget
 from savorybend.relay import calls
+from savorybend.relay import framedecoder
 from savorybend.relay import frames
 from savorybend.relay import linkinterfaces
 from savorybend.relay import outcomes
@@ -317,7 +318,7 @@
                 if _is_large(outcome):
                     # The peer holds it until it is acknowledged.
                     self._ping()
-            case frames.Dropped(tag=frames.DONE_TAG, number=number):
+            case framedecoder.Dropped(tag=frames.DONE_TAG, number=number):
                 self._received += 1
                 sent = self._sent.get(number)
                 if sent is not None and sent.written:
--- a/src/savorybend/relay/listening.py
+++ b/src/savorybend/relay/listening.py
@@ -9,6 +9,7 @@
 from savorybend.relay import callers
 from savorybend.relay import calls
 from savorybend.relay import counters
+from savorybend.relay import exchanges
 from savorybend.relay import learnedlog
 from savorybend.relay import settings
 
@@ -43,7 +44,7 @@
     budget: bytebudget.Budget
     callers: CreateProtocol
     peers: CreateProtocol
-    on_announcement: collections.abc.Callable[[callers.Exchange], None]
+    on_announcement: collections.abc.Callable[[exchanges.Exchange], None]
     counters: counters.Counters
     ready: collections.abc.Callable[[], bool]
     learned_log: learnedlog.LearnedLog
@@ -89,7 +90,7 @@
         )
         self._servers.append(server)
 
-    def _on_probe(self, exchange: callers.Exchange) -> None:
+    def _on_probe(self, exchange: exchanges.Exchange) -> None:
         if exchange.target.startswith(_METRICS_PATH):
             exchange.reply(_OK, b"", self._parts.counters.render())
             return
--- a/src/savorybend/relay/peerserver.py
+++ b/src/savorybend/relay/peerserver.py
@@ -5,6 +5,7 @@
 
 from savorybend.relay import bytebudget
 from savorybend.relay import calls
+from savorybend.relay import framedecoder
 from savorybend.relay import frames
 from savorybend.relay import linkinterfaces
 from savorybend.relay import outcomes
@@ -104,7 +105,7 @@
         match message:
             case frames.Run():
                 self._on_run(stream, message)
-            case frames.Dropped(tag=frames.RUN_TAG, number=number):
+            case framedecoder.Dropped(tag=frames.RUN_TAG, number=number):
                 self._on_dropped(stream, number)
             case frames.Cancel(number=number):
                 self._on_cancel(stream, number)
--- a/src/savorybend/relay/streams.py
+++ b/src/savorybend/relay/streams.py
@@ -10,6 +10,7 @@
 
 from savorybend.internal import errors
 from savorybend.relay import bytebudget
+from savorybend.relay import framedecoder
 from savorybend.relay import frames
 from savorybend.relay import pacedwriter
 from savorybend.relay import traffic
@@ -57,7 +58,7 @@
         self._on_end = on_end
         self._traffic = counts
         self._reserve = reserve
-        self._decoder = frames.FrameDecoder(self._on_begin)
+        self._decoder = framedecoder.FrameDecoder(self._on_begin)
         self._waiter: bytebudget.Waiter | None = None
         self._transport: asyncio.Transport | None = None
         self._writer = pacedwriter.create_paced_writer()
@@ -161,7 +162,9 @@
         if parts:
             self._writer.write(b"".join(parts))
 
-    def _on_begin(self, begin: frames.Begin) -> bytearray | frames.Room:
+    def _on_begin(
+        self, begin: framedecoder.Begin
+    ) -> bytearray | framedecoder.Room:
         """Returns a buffer for a large message, or what is done without."""
         budget, use = self._reserve.budget, self._reserve.use
         if begin.size <= bytebudget.SMALL_BYTES and not self._reserve.refuses:
@@ -171,8 +174,8 @@
             return buffer
         if self._reserve.refuses or not budget.fits(use, begin.size):
             budget.note_refusal(use)
-            return frames.Room.NONE
-        return frames.Room.LATER
+            return framedecoder.Room.NONE
+        return framedecoder.Room.LATER
 
     def _wait_for_room(self, size: int) -> None:
         self._transport.pause_reading()
@@ -192,7 +195,7 @@
         """Drops what is to be sent and what was received in part."""
         self._out.clear()
         self._writer.clear()
-        self._decoder = frames.FrameDecoder(self._on_begin)
+        self._decoder = framedecoder.FrameDecoder(self._on_begin)
         if self._waiter is not None:
             self._waiter.cancel()
             self._waiter = None
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -13,6 +13,7 @@
 from savorybend.relay import bytebudget
 from savorybend.relay import callers
 from savorybend.relay import calls
+from savorybend.relay import exchanges
 from savorybend.relay import outcomes
 from savorybend.relay import responseparser
 from tests import fakes
@@ -216,7 +217,7 @@
 
 def _announce(target, body):
     listener = _Listener()
-    exchange = callers.Exchange(_Connection())
+    exchange = exchanges.Exchange(_Connection())
     exchange.target = target
     exchange.body = body
     announcements.create_announcements(listener).handle(exchange)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -13,6 +13,7 @@
 from savorybend.platform import jsonparts
 from savorybend.platform import objects
 from savorybend.relay import bytebudget
+from savorybend.relay import framedecoder
 from savorybend.relay import frames
 from savorybend.relay import presence
 from savorybend.relay import settings
@@ -199,4 +200,4 @@
     deep = b"\x93" + payload[1:] + b"\x91" * depth + b"\xc0"
     message = len(deep).to_bytes(4) + deep
     with pytest.raises(errors.InvalidMessageError):
-        list(frames.FrameDecoder().feed(message))
+        list(framedecoder.FrameDecoder().feed(message))
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -11,7 +11,7 @@
 from savorybend.platform import configuration
 from savorybend.platform import names
 from savorybend.platform import settings
-from savorybend.relay import callers
+from savorybend.relay import exchanges
 from savorybend.relay import frames
 from savorybend.relay import presence
 from savorybend.relay import store
@@ -50,7 +50,7 @@
 
 def _tell(target, body):
     listener = _Listener()
-    exchange = callers.Exchange(_Connection())
+    exchange = exchanges.Exchange(_Connection())
     exchange.target = target
     exchange.body = body
     announcements.create_announcements(listener).handle(exchange)
--- a/tests/relay/ingresses.py
+++ b/tests/relay/ingresses.py
@@ -6,10 +6,11 @@
 from savorybend.internal import timers
 from savorybend.relay import admission
 from savorybend.relay import allowance
-from savorybend.relay import callers
+from savorybend.relay import callerconnection
 from savorybend.relay import calls
 from savorybend.relay import catalog
 from savorybend.relay import counters
+from savorybend.relay import exchanges
 from savorybend.relay import forwarding
 from savorybend.relay import ingress
 from savorybend.relay import lender
@@ -48,9 +49,11 @@
         return b"Retry-After: %.3f\r\n" % retry_after_s
 
 
-class Exchange(callers.Exchange):
+class Exchange(exchanges.Exchange):
     def __init__(self, **headers):
-        super().__init__(typing.cast(callers.CallerConnection, _Connection()))
+        super().__init__(
+            typing.cast(callerconnection.CallerConnection, _Connection())
+        )
         self.method = b"GET"
         self.target = b"/stock/1"
         self.headers = [
--- a/tests/relay/test_frames.py
+++ b/tests/relay/test_frames.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from savorybend.internal import errors
+from savorybend.relay import framedecoder
 from savorybend.relay import frames
 from savorybend.relay import outcomes
 
@@ -21,7 +22,7 @@
 @hypothesis.given(cuts=strategies.lists(strategies.integers(1, 40)))
 def test_messages_are_whole_however_the_stream_is_cut(cuts):
     stream = b"".join(frames.encode(message) for message in _MESSAGES)
-    splitter = frames.FrameDecoder()
+    splitter = framedecoder.FrameDecoder()
     found = []
     for size in cuts:
         found.extend(splitter.feed(stream[:size]))
@@ -32,9 +33,9 @@
 
 def test_data_of_another_protocol_is_refused():
     with pytest.raises(errors.InvalidMessageError):
-        list(frames.FrameDecoder().feed(b"GET / HTTP/1.1\r\n\r\n"))
+        list(framedecoder.FrameDecoder().feed(b"GET / HTTP/1.1\r\n\r\n"))
 
 
 def test_an_unknown_message_is_refused():
     with pytest.raises(errors.InvalidMessageError):
-        list(frames.FrameDecoder().feed(b"\0\0\0\x01\xc0"))
+        list(framedecoder.FrameDecoder().feed(b"\0\0\0\x01\xc0"))
--- a/tests/relay/test_large_frames.py
+++ b/tests/relay/test_large_frames.py
@@ -6,6 +6,7 @@
 
 from savorybend.internal import errors
 from savorybend.relay import bytebudget
+from savorybend.relay import framedecoder
 from savorybend.relay import frames
 from savorybend.relay import outcomes
 
@@ -66,7 +67,7 @@
 
 @hypothesis.given(_MESSAGES, _PIECES)
 def test_messages_are_whole_however_the_stream_is_cut(messages, sizes):
-    decoder = frames.FrameDecoder()
+    decoder = framedecoder.FrameDecoder()
     found = []
     for piece in _pieces(_encoded(messages), sizes):
         found.extend(decoder.feed(piece))
@@ -77,7 +78,7 @@
 def test_a_message_in_parts_is_what_another_version_decodes(messages):
     for message in messages:
         whole = b"".join(frames.encode_parts(message))
-        assert frames._decode(memoryview(whole)[4:]) == message
+        assert frames.decode(memoryview(whole)[4:]) == message
 
 
 def _number(message):
@@ -97,12 +98,12 @@
 def test_a_message_without_room_is_dropped_and_the_others_arrive(
     messages, sizes
 ):
-    decoder = frames.FrameDecoder(lambda begin: frames.Room.NONE)
+    decoder = framedecoder.FrameDecoder(lambda begin: framedecoder.Room.NONE)
     found = []
     for piece in _pieces(_encoded(messages), sizes):
         found.extend(decoder.feed(piece))
     expected = [
-        frames.Dropped(*_number(one)) if _is_large(one) else one
+        framedecoder.Dropped(*_number(one)) if _is_large(one) else one
         for one in messages
     ]
     assert found == expected
@@ -110,7 +111,7 @@
 
 @hypothesis.given(_MESSAGES, _PIECES)
 def test_a_message_that_waits_for_room_arrives_in_its_place(messages, sizes):
-    decoder = frames.FrameDecoder(lambda begin: frames.Room.LATER)
+    decoder = framedecoder.FrameDecoder(lambda begin: framedecoder.Room.LATER)
     found = []
     for piece in _pieces(_encoded(messages), sizes):
         found.extend(decoder.feed(piece))
@@ -126,7 +127,7 @@
     size = (16 << 20) + 1
     data = size.to_bytes(4) + bytes([0x93, tag]) + bytes(100)
     with pytest.raises(errors.InvalidMessageError, match="exceeds"):
-        list(frames.FrameDecoder().feed(data))
+        list(framedecoder.FrameDecoder().feed(data))
 
 
 @pytest.mark.parametrize(
@@ -136,7 +137,7 @@
 def test_a_large_message_that_tells_no_number_is_refused(begin):
     data = (100_000).to_bytes(4) + begin + bytes(100)
     with pytest.raises(errors.InvalidMessageError):
-        list(frames.FrameDecoder().feed(data))
+        list(framedecoder.FrameDecoder().feed(data))
 
 
 def test_a_large_body_is_not_copied():
@@ -152,5 +153,5 @@
         return buffers[-1]
 
     message = _run(1, 1_000_000)
-    [found] = frames.FrameDecoder(hold).feed(_encoded([message]))
+    [found] = framedecoder.FrameDecoder(hold).feed(_encoded([message]))
     assert found.body.obj is buffers[0]
