Share the floods of faulty servers between tests

Cause: three tests had the same floods, and two the same start of a daemon. Change: tests/floods.py has them, and started.py the start.

--- a/tests/integration/test_backend_answers.py
+++ b/tests/integration/test_backend_answers.py
@@ -6,6 +6,7 @@
 from standins import rawbackend
 from standins import site as sites
 from tests import documents
+from tests.integration import started
 
 _ANSWERS = (
     rawbackend.create_response(200, b"done"),
@@ -23,20 +24,6 @@
     await exchange.write(own, own)
 
 
-async def _start_daemon(site, server):
-    """Starts a daemon beside a server that doesn't announce itself."""
-    worker = sites.Worker("back-1", "east", "back")
-    await site.add((worker,), backends=False)
-    document = documents.create_site().to_json().encode()
-    code, output = await site.ctl("config", "submit", "-", stdin=document)
-    assert code == 0, output
-    url = f"http://{site.addresses['back-1'].local}/savorybend/v1/backend"
-    announcement = {"address": server.address, "slots": 8}
-    async with site.session.put(url, json=announcement) as response:
-        assert response.status == 200
-    await site.wait_ready()
-
-
 async def _call(site, request_id):
     caller = callers.Caller(site.session, documents.MARUYAMA.text)
     return await caller.call(
@@ -50,7 +37,7 @@
 async def test_a_copy_of_an_answer_is_not_the_next_calls_answer():
     server = rawbackend.create_raw_server(_answer)
     async with server.serve(), sites.create_site() as site:
-        await _start_daemon(site, server)
+        await started.start_beside(site, server)
         caller = callers.Caller(site.session, documents.MARUYAMA.text)
         seen = []
         for request_id in await caller.take_ids(
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -13,6 +13,7 @@
 import pytest
 
 from standins import stutter
+from tests import floods
 from tests.platform import fleets
 
 # The least that machines of the users' fleet have.
@@ -264,30 +265,11 @@
         writer.close()
 
 
-_FLOODS = {
-    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Y: z\r\n" * 1000),
-    "one header": (b"HTTP/1.1 200 OK\r\nX: ", b"y" * 10_000),
-    "a body without length": (b"HTTP/1.1 200 OK\r\n\r\n", b"z" * 100_000),
-    "a chunked body": (
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-        b"fff0\r\n" + b"z" * 65_520 + b"\r\n",
-    ),
-    "a body of a huge length": (
-        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
-        b"z" * 100_000,
-    ),
-    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
-    "no response": (b"", b"z" * 100_000),
-}
-
-
 def _flood(name):
-    begin, repeated = _FLOODS[name]
-
     def plan(request, answer):
         if not request.target.startswith("/large/"):
             return [answer.data]
-        return itertools.chain([begin], itertools.repeat(repeated))
+        return floods.write(name)
 
     return plan
 
@@ -309,7 +291,7 @@
     return status
 
 
-@pytest.mark.parametrize("name", _FLOODS)
+@pytest.mark.parametrize("name", floods.FLOODS)
 async def test_bytes_without_end_of_a_faulty_server_harm_no_other_call(
     tmp_path, name
 ):
--- a/tests/unit/test_boundedresponses.py
+++ b/tests/unit/test_boundedresponses.py
@@ -1,7 +1,6 @@
 """Responses without end are given up by every reader of them."""
 
 import asyncio
-import itertools
 
 import aiohttp
 import pytest
@@ -10,23 +9,9 @@
 from savorybend.internal import platform
 from savorybend.internal import sessions
 from standins import rawbackend
+from tests import floods
 
 _MAX_SENT_BYTES = 32 << 20
-_HEAD = b"HTTP/1.1 200 OK\r\n"
-_FLOODS = {
-    "header lines": (_HEAD, b"X-Y: z\r\n" * 1000),
-    "one header": (_HEAD + b"X: ", b"y" * 10_000),
-    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
-    "a body without length": (_HEAD + b"\r\n", b"z" * 100_000),
-    "a chunked body": (
-        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
-        b"fff0\r\n" + b"z" * 65_520 + b"\r\n",
-    ),
-    "a body of a huge length": (
-        _HEAD + b"Content-Length: 99999999999\r\n\r\n",
-        b"z" * 100_000,
-    ),
-}
 
 
 class _Flood:
@@ -34,18 +19,16 @@
 
     def __init__(self, name):
         self.sent_bytes = 0
-        self._begin, self._repeated = _FLOODS[name]
+        self._name = name
 
     async def answer(self, exchange):
-        for data in itertools.chain(
-            [self._begin], itertools.repeat(self._repeated)
-        ):
+        for data in floods.write(self._name):
             exchange.writer.write(data)
             await exchange.writer.drain()
             self.sent_bytes += len(data)
 
 
-@pytest.mark.parametrize("name", _FLOODS)
+@pytest.mark.parametrize("name", floods.FLOODS)
 async def test_a_reader_gives_up_a_response_without_end(name):
     # The store's client, the command line and daemons read such ones for as
     # long as they had time.
