Keep a connection on which a large body is on its way

Cause: pings wait behind a large message, so a body that took longer than a second to write or to arrive was taken for a silent peer: the connection was given up, the calls on it were asked for again, and the body was sent anew. Change: the pieces of a large message that the transport takes, and bytes that arrive, count as signs of life; small messages that are written don't, as a dead connection takes them too.

--- a/src/savorybend/relay/links.py
+++ b/src/savorybend/relay/links.py
@@ -86,6 +86,8 @@
         self._backoff_s = _MIN_BACKOFF_S
         self._last_received_s = 0.0
         self._last_ping_s = 0.0
+        self._progress = (0, 0)
+        self._last_progress_s = 0.0
         self._last_used_s = parts.clock.now_s()
         # None unless the last attempt to reach the peer failed.
         self._last_failure_s: float | None = None
@@ -127,7 +129,8 @@
             or self._last_ping_s <= self._last_received_s
         ):
             return 0.0
-        return self._parts.clock.now_s() - self._last_ping_s
+        since_s = max(self._last_ping_s, self._last_progress_s)
+        return self._parts.clock.now_s() - since_s
 
     def set_persistent(self, wanted: bool) -> None:
         """Sets whether the connection stays open while unused."""
@@ -198,12 +201,10 @@
             if self._persistent:
                 self._dial()
             return
-        if self._stream.waiting:
-            # It is this daemon that doesn't read.
-            self._last_received_s = now_s
-            return
+        self._note_progress(now_s)
         if self._last_ping_s > self._last_received_s:
-            if now_s - self._last_ping_s > _PING_TIMEOUT_S:
+            since_s = max(self._last_ping_s, self._last_progress_s)
+            if now_s - since_s > _PING_TIMEOUT_S:
                 _log.warning(
                     "peer_silent", peer=self.daemon, in_flight=len(self._sent)
                 )
@@ -218,6 +219,14 @@
         if self._is_ping_due(now_s):
             self._ping()
 
+    def _note_progress(self, now_s: float) -> None:
+        """Notes whether a ping or pong may be behind a large message."""
+        progress = self._stream.progress
+        # While it waits for room it is this daemon that doesn't read.
+        if progress != self._progress or self._stream.waiting:
+            self._progress = progress
+            self._last_progress_s = now_s
+
     def _is_ping_due(self, now_s: float) -> bool:
         silent_s = now_s - max(self._last_ping_s, self._last_received_s)
         if silent_s >= _PING_INTERVAL_S:
--- a/src/savorybend/relay/pacedwriter.py
+++ b/src/savorybend/relay/pacedwriter.py
@@ -19,13 +19,19 @@
 class PacedWriter:
     """Writes to one transport, in order."""
 
-    __slots__ = ("_transport", "_pending", "_paused", "_closing")
+    __slots__ = ("_transport", "_pending", "_paused", "_closing", "_pieces")
 
     def __init__(self):
         self._transport: asyncio.Transport | None = None
         self._pending: collections.deque[memoryview] = collections.deque()
         self._paused = False
         self._closing = False
+        self._pieces = 0
+
+    @property
+    def pieces(self) -> int:
+        """Number of pieces of large data that the transport has taken."""
+        return self._pieces
 
     @property
     def paused(self) -> bool:
@@ -81,6 +87,7 @@
             if len(data) > _PIECE_BYTES:
                 self._pending.appendleft(data[_PIECE_BYTES:])
             self._transport.write(data[:_PIECE_BYTES])
+            self._pieces += 1
         if self._closing and not self._pending:
             self._transport.close()
 
--- a/src/savorybend/relay/streams.py
+++ b/src/savorybend/relay/streams.py
@@ -63,6 +63,7 @@
         self._transport: asyncio.Transport | None = None
         self._writer = pacedwriter.create_paced_writer()
         self._out: list[bytes | memoryview] = []
+        self._received_bytes = 0
         self.peer = ""
         self.answered: collections.deque[tuple[str, int]] = collections.deque()
         self.acknowledged = 0
@@ -81,6 +82,11 @@
         """Whether messages wait to be written."""
         return bool(self._out) or self._writer.unsent_bytes > 0
 
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Changes whenever a part of a large message arrives or is written."""
+        return (self._received_bytes, self._writer.pieces)
+
     @property
     def waiting(self) -> bool:
         """Whether nothing is read until there is room for a large message."""
@@ -102,6 +108,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes complete messages on; aborts if one is invalid."""
+        self._received_bytes += len(data)
         self._receive(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/relay/test_response_room.py
+++ b/tests/relay/test_response_room.py
@@ -195,3 +195,60 @@
         pair.serving.taken[1][1](linkpairs.RAN)
         await pair.until(lambda: len(pair.got) == 2)
         assert pair.got == [outcomes.Lost(outcomes.MEMORY), linkpairs.RAN]
+
+
+class _SlowReader:
+    """Reads from a transport for a moment in each interval."""
+
+    def __init__(self, transport):
+        self._transport = transport
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self):
+        while True:
+            self._transport.pause_reading()
+            await asyncio.sleep(0.05)
+            self._transport.resume_reading()
+            # Until it has read once, 256 KiB at most.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    def stop(self):
+        self._task.cancel()
+        self._transport.resume_reading()
+
+
+async def test_a_large_request_on_a_slow_connection_is_not_taken_for_silence():
+    # Nothing else gets through meanwhile, so pings were unanswered for a second
+    # and the connection was given up, again and again.
+    async with linkpairs.running_pair() as pair:
+        await pair.until(lambda: pair.link.connected)
+        slow = _SlowReader(pair.transports[0])
+        body = bytes(10_000_000)
+        pair.submit(body=body, idempotent=False)
+        await pair.until(lambda: pair.serving.taken or pair.got)
+        slow.stop()
+        assert pair.got == []
+        assert len(pair.transports) == 1
+        assert len(pair.serving.taken[0][0].body) == len(body)
+
+
+async def test_a_large_answer_on_a_slow_connection_is_not_taken_for_silence():
+    async with linkpairs.running_pair() as pair:
+        pair.submit(idempotent=False)
+        await pair.until(lambda: pair.serving.taken)
+        slow = _SlowReader(pair.link._stream._transport)
+        body = bytes(10_000_000)
+        pair.serving.taken[0][1](outcomes.Ran(200, b"", body))
+        await pair.until(lambda: pair.got)
+        slow.stop()
+        assert len(pair.transports) == 1
+        assert len(pair.got[0].body) == len(body)
+
+
+async def test_a_connection_that_takes_no_more_of_a_request_is_silent():
+    async with linkpairs.running_pair() as pair:
+        await pair.until(lambda: pair.link.connected)
+        pair.transports[0].pause_reading()
+        pair.submit(body=bytes(10_000_000), idempotent=False)
+        await pair.until(lambda: len(pair.transports) == 2)
