Take heads within their limit in any pieces

Cause: the bound on a head without end counted all bytes sent, the limit of heads counts names and values: a head just within it, in pieces, was refused with 431, and the bytes of a head that ended in the same segment counted as framing of its body. Change: a head may have four times its limit as sent; bytes count only if they are all of one head, or of one body.

--- a/src/savorybend/relay/callerconnection.py
+++ b/src/savorybend/relay/callerconnection.py
@@ -23,6 +23,9 @@
 _BAD_REQUEST = 400
 _PAYLOAD_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+# Bytes that a head within its limit, which counts names and values only, may
+# have as sent.
+_MAX_RAW_RATIO = 4
 # Bytes of framing that a chunked body may have for each byte of its own.
 _MAX_FRAMING_RATIO = 8
 # Longest wait for room for a body, and how many of one listener's may wait;
@@ -78,6 +81,20 @@
         """Removes a closed connection."""
 
 
+class _Position(typing.NamedTuple):
+    """Where the parser is.
+
+    Attributes:
+        request: The request that is being read; None between two.
+        in_head: Whether its head isn't complete.
+        body_bytes: Bytes of its body so far.
+    """
+
+    request: exchanges.Exchange | None
+    in_head: bool
+    body_bytes: int
+
+
 class CallerConnection(asyncio.Protocol):
     """A caller's connection; answers are sent in the order of requests."""
 
@@ -93,9 +110,9 @@
         )
         self._in_head = True
         self._header_bytes = 0
-        # Bytes of this head, or of the body's framing, as far as they are
-        # known to be no others.
-        self._head_bytes = 0
+        # Bytes of this head as sent, and of the body's framing, as far as they
+        # are known to be no others.
+        self._raw_head_bytes = 0
         self._framing_bytes = 0
         self._last_activity_s = 0.0
         # No request is read any more; what arrives is dropped.
@@ -151,12 +168,11 @@
         if self._refused:
             self._drop(len(data))
             return
-        current, body_bytes = self._current, self._body.size
+        before = self._position()
         writebatch.CURRENT.begin()
         try:
             self._parser.feed_data(data)
-            if self._current is current:
-                self._check_size(len(data), self._body.size - body_bytes)
+            self._check_size(before, len(data))
         except httptools.HttpParserCallbackError:
             # A mistake of this program. The request may have been passed on,
             # so no status is true.
@@ -185,7 +201,7 @@
         self._callers.mark_used(self)
         self._in_head = True
         self._header_bytes = 0
-        self._head_bytes = 0
+        self._raw_head_bytes = 0
         self._framing_bytes = 0
         self._last_activity_s = self._callers.clock.now_s()
 
@@ -306,21 +322,31 @@
         stuck_s = now_s - self._last_progress_s
         return stuck_s > self._callers.bounds.idle_timeout_s
 
-    def _check_size(self, received_bytes: int, body_bytes: int) -> None:
+    def _position(self) -> "_Position":
+        return _Position(self._current, self._in_head, self._body.size)
+
+    def _check_size(self, before: "_Position", received_bytes: int) -> None:
         """Refuses a head or a framing that doesn't end.
 
         The parser collects a header, or a trailer, until its end.
+
+        Args:
+            before: The position before the received bytes, which count only if
+                they are all of one head, or of one body.
+            received_bytes: Their number.
         """
-        if self._refused or self._current is None:
+        now = self._position()
+        if self._refused or now.request is None or now[:2] != before[:2]:
             return
-        limit_bytes = self._callers.bounds.header_bytes
-        if self._in_head:
-            self._head_bytes += received_bytes
-            if self._head_bytes > limit_bytes:
+        limit_bytes = _MAX_RAW_RATIO * self._callers.bounds.header_bytes
+        if now.in_head:
+            self._raw_head_bytes += received_bytes
+            if self._raw_head_bytes > limit_bytes:
                 self._refuse(_HEADERS_TOO_LARGE)
             return
+        body_bytes = now.body_bytes - before.body_bytes
         self._framing_bytes += received_bytes - body_bytes
-        limit_bytes += _MAX_FRAMING_RATIO * self._body.size
+        limit_bytes += _MAX_FRAMING_RATIO * now.body_bytes
         if self._framing_bytes > limit_bytes:
             self._refuse(_BAD_REQUEST)
 
