--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -352,3 +352,18 @@
     threads = list((process / "task").iterdir())
     assert len(threads) == 1
     assert not (threads[0] / "children").read_text().split()
+
+
+async def test_a_page_tells_through_whom_each_daemon_became_known(fleet):
+    first, second, third = fleet.machines
+    url = f"http://{first.host}:{first.base + 2}/daemons"
+    async with fleet.session.get(url) as response:
+        lines = (await response.text()).splitlines()
+    assert [line.split()[0] for line in lines] == [
+        f"daemon={second.name}",
+        f"daemon={third.name}",
+    ]
+    for line in lines:
+        assert " state=ready " in line
+        assert " source=" in line
+        assert " learned_s_ago=" in line
