List an answer that leaves its connection unread

Cause: `ResponseParser` asks for room for a body of unknown length once it is beyond 64 KiB; if the body ends within the same bytes, the answer is passed on, but the connection goes on waiting for the room, and isn't read. The mend is to reset what is needed as a response ends.

--- a/tests/relay/test_response_room.py
+++ b/tests/relay/test_response_room.py
@@ -257,3 +257,15 @@
         pair.transports[0].pause_reading()
         pair.submit(body=bytes(10_000_000), idempotent=False)
         await pair.until(lambda: len(pair.transports) == 2)
+
+
+async def test_an_answer_that_ends_before_it_got_room_leaves_the_connection():
+    # Its connection isn't read any more, and the next answer on it is late.
+    budget = bytebudget.create_budget(_MEMORY_BYTES)
+    held = budget.hold(_RESPONSES, 0, budget.limit_bytes(_RESPONSES))
+    call = _Call(budget, _answer(100_000, "chunks"))
+    while call.read(200_000):
+        await asyncio.sleep(0)
+    assert [len(one.body) for one in call.got] == [100_000]
+    assert held is not None
+    assert not call.transport.paused
